--- /dev/null
+++ b/src/gateway/callers/admission.ts
@@ -0,0 +1,105 @@
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {WorkspaceQuotas} from '../limits/workspace-quotas.js';
+import type {Freshness} from '../site/freshness.js';
+import {chooseTarget, type RouteTable} from '../site/route-table.js';
+import type {SiteState} from '../site/site-state.js';
+import {quotaUnits, type Route, type Workspace} from '../site/types.js';
+import type {GatewayFailure} from './failures.js';
+import type {CallerRequestFacts} from './types.js';
+
+/** Time after which a caller may come back to an instance that lacks a fresh configuration; others are better. */
+const staleRetryAfterMs: Milliseconds = 300;
+
+/** Shortest time that a caller over its quota is told to wait. */
+const shortestQuotaWaitMs: Milliseconds = 200;
+
+/** A request that may go to the queue. */
+export type Admitted = {
+	readonly kind: 'admitted';
+	readonly route: Route;
+	readonly service: string;
+	readonly tier: number;
+	readonly workspace?: Workspace;
+	/** Units of the workspace's quota that were taken. */
+	readonly units: number;
+	readonly version: number;
+};
+
+export type AdmissionResult = Admitted | {readonly kind: 'rejected'; readonly failure: GatewayFailure; readonly route?: Route};
+
+export type AdmissionOptions = {
+	readonly site: SiteState;
+	readonly freshness: Freshness;
+	readonly quotas: WorkspaceQuotas;
+	readonly clock: Clock;
+	/** Draws from 0 to below 1. */
+	readonly draw: () => number;
+};
+
+function rejected(failure: GatewayFailure, route?: Route): AdmissionResult {
+	return {kind: 'rejected', failure, route};
+}
+
+/** Decides whether a request may go to the queue: route, key, freshness and quota. */
+export class Admission {
+	static create(options: AdmissionOptions): Admission {
+		return new Admission(options);
+	}
+
+	private constructor(private readonly options: AdmissionOptions) {}
+
+	decide(facts: CallerRequestFacts, path: string, arrivedAt: Milliseconds): AdmissionResult {
+		const {site, freshness, draw} = this.options;
+		const {routes} = site;
+		if (facts.requestId === undefined) {
+			return rejected({type: 'missingRequestId'});
+		}
+
+		if (routes === undefined) {
+			return rejected({type: 'noConfiguration', retryAfterMs: staleRetryAfterMs});
+		}
+
+		if (!freshness.permits(arrivedAt, site.confirmedAt)) {
+			return rejected({type: 'stale', retryAfterMs: staleRetryAfterMs});
+		}
+
+		const route = routes.findRoute(facts.host, path);
+		if (route === undefined) {
+			return rejected({type: 'unknownRoute'});
+		}
+
+		const workspace = facts.key === undefined ? undefined : routes.workspaceOfKey(facts.key);
+		if (workspace === undefined && routes.hasWorkspaces && !route.allowsAnonymous) {
+			return rejected({type: 'unknownKey'}, route);
+		}
+
+		const service = chooseTarget(route, draw());
+		if (service === undefined || routes.service(service) === undefined) {
+			return rejected({type: 'noEndpoint', retryAfterMs: staleRetryAfterMs}, route);
+		}
+
+		return this.#takeQuota(facts, route, service, routes, workspace);
+	}
+
+	#takeQuota(facts: CallerRequestFacts, route: Route, service: string, routes: RouteTable, workspace: Workspace | undefined): AdmissionResult {
+		const units = workspace?.quota === undefined ? 0 : this.#unitsOf(facts, workspace.quota);
+		if (workspace !== undefined && units > 0) {
+			const taken = this.options.quotas.take(workspace.name, units, this.options.clock.now());
+			if (!taken.isTaken) {
+				return rejected({type: 'quotaExceeded', retryAfterMs: Math.max(taken.waitMs, shortestQuotaWaitMs)}, route);
+			}
+		}
+
+		return {
+			kind: 'admitted', route, service, tier: workspace?.tier ?? route.tier, workspace, units, version: routes.version,
+		};
+	}
+
+	#unitsOf(facts: CallerRequestFacts, quota: NonNullable<Workspace['quota']>): number {
+		if (quota.unit === quotaUnits.requests) {
+			return 1;
+		}
+
+		return facts.tokens === undefined ? quota.defaultTokens : facts.tokens.prompt + facts.tokens.output;
+	}
+}
--- /dev/null
+++ b/src/gateway/callers/caller-server.ts
@@ -0,0 +1,153 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {DecisionLog} from '../observability/decision-log.js';
+import type {SocketAddress} from '../settings.js';
+import type {CallerLimits} from '../site/types.js';
+import {HttpResponse} from './http-response.js';
+
+/** Used until a configuration names others. */
+const defaultLimits: CallerLimits = {
+	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+
+/** Room for headers beyond the configured bound, because a server's own bound can't be changed later. */
+const headerBytesAtMost = 65_536;
+
+/** Connections that wait to be accepted. After a start many callers connect at once. */
+const backlog = 1024;
+
+/** A request that has been read whole. */
+export type ReadRequest = {
+	readonly message: IncomingMessage;
+	readonly body?: Buffer;
+	readonly arrivedAt: Milliseconds;
+	readonly response: HttpResponse;
+	/** Calls back when the caller's connection closes before the answer is complete. */
+	onLeave(callback: () => void): void;
+};
+
+export type CallerServerOptions = {
+	readonly address: SocketAddress;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly onRequest: (request: ReadRequest) => void;
+};
+
+/** Accepts callers' connections and reads their requests. */
+export class CallerServer {
+	static create(options: CallerServerOptions): CallerServer {
+		return new CallerServer(options);
+	}
+
+	readonly #server: Server;
+	#limits = defaultLimits;
+	#isStopping = false;
+	#open = 0;
+
+	private constructor(private readonly options: CallerServerOptions) {
+		this.#server = createServer({
+			maxHeaderSize: headerBytesAtMost,
+			// A malformed request never reaches an endpoint.
+			insecureHTTPParser: false,
+			requireHostHeader: true,
+			noDelay: true,
+		}, (message, response) => {
+			this.#handle(message, response);
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			options.log.event('caller-connection-failed', {reason: error.code ?? error.message});
+			if (socket.writable && error.code !== 'ECONNRESET') {
+				socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+			} else {
+				socket.destroy();
+			}
+		});
+		this.useLimits(defaultLimits);
+	}
+
+	/** Requests that are being read or answered. */
+	get open(): number {
+		return this.#open;
+	}
+
+	/** @throws {Error} when the address can't be bound */
+	async start(): Promise<void> {
+		const {host, port} = this.options.address;
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({host, port, backlog}, resolve);
+		});
+	}
+
+	useLimits(limits: CallerLimits): void {
+		this.#limits = limits;
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+		this.#server.requestTimeout = 0;
+	}
+
+	/** From now on each answer closes its connection. */
+	beginStop(): void {
+		this.#isStopping = true;
+	}
+
+	/** Stops accepting and closes connections without a request. */
+	async close(): Promise<void> {
+		const closed = new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+		this.#server.closeIdleConnections();
+		await closed;
+	}
+
+	closeAllConnections(): void {
+		this.#server.closeAllConnections();
+	}
+
+	#handle(message: IncomingMessage, response: ServerResponse): void {
+		this.#open++;
+		const arrivedAt = this.options.clock.now();
+		const answer = HttpResponse.create(response, () => this.#isStopping);
+		const chunks: Buffer[] = [];
+		let bytes = 0;
+		let hasFailed = false;
+		let onLeave: (() => void) | undefined;
+		response.on('close', () => {
+			this.#open--;
+			if (!response.writableFinished) {
+				onLeave?.();
+			}
+		});
+		response.on('error', error => {
+			this.options.log.event('caller-connection-failed', {reason: error.message});
+		});
+		message.on('data', (chunk: Buffer) => {
+			bytes += chunk.byteLength;
+			if (bytes <= this.#limits.bodyBytes) {
+				chunks.push(chunk);
+			} else if (!hasFailed) {
+				hasFailed = true;
+				response.setHeader('connection', 'close');
+				answer.fail({type: 'bodyTooLarge'});
+			}
+		});
+		message.on('end', () => {
+			if (hasFailed || response.destroyed) {
+				return;
+			}
+
+			this.options.onRequest({
+				message,
+				body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
+				arrivedAt,
+				response: answer,
+				onLeave(callback) {
+					onLeave = callback;
+				},
+			});
+		});
+	}
+}
--- /dev/null
+++ b/src/gateway/callers/failures.ts
@@ -0,0 +1,29 @@
+import type {Milliseconds} from '../../shared/clock.js';
+
+/** Every answer that the gateway gives of its own, with its status. 408, 421, 429 and 503 promise that the request has not run and never will. */
+export const gatewayFailures = {
+	malformedRequest: {status: 400, title: 'The request is malformed'},
+	missingRequestId: {status: 400, title: 'The request has no id'},
+	unknownKey: {status: 401, title: 'The key is not known'},
+	unknownRoute: {status: 404, title: 'No route leads there'},
+	bodyTooLarge: {status: 413, title: 'The body is too large'},
+	quotaExceeded: {status: 429, title: 'The workspace has used its quota'},
+	noConfiguration: {status: 503, title: 'No configuration is known yet'},
+	stale: {status: 503, title: 'What is known of the configuration is too old'},
+	stopping: {status: 503, title: 'This instance is stopping'},
+	noEndpoint: {status: 503, title: 'No endpoint of the service may get requests'},
+	overloaded: {status: 503, title: 'The service is overloaded'},
+	waitedTooLong: {status: 503, title: 'No place became free in time'},
+	notRun: {status: 503, title: 'The endpoints did not run the request'},
+	endpointFailed: {status: 502, title: 'The endpoint failed while it had the request'},
+	timedOut: {status: 504, title: 'The endpoint did not answer in time'},
+} as const satisfies Record<string, {readonly status: number; readonly title: string}>;
+
+export type GatewayFailureType = keyof typeof gatewayFailures;
+
+/** A typed failure that the gateway answers with. */
+export type GatewayFailure = {
+	readonly type: GatewayFailureType;
+	/** When the caller may come back. */
+	readonly retryAfterMs?: Milliseconds;
+};
--- /dev/null
+++ b/src/gateway/callers/http-response.ts
@@ -0,0 +1,61 @@
+import type {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {CallerResponse} from '../forwarding/forward-task.js';
+import {gatewayFailures, type GatewayFailure} from './failures.js';
+
+/** Most bytes that wait for a caller who does not read, after which its connection is closed. The longest streams have about 40,000 bytes. */
+const maximumPendingBytes = 1_048_576;
+
+/** A caller's answer over HTTP. */
+export class HttpResponse implements CallerResponse {
+	static create(response: ServerResponse, mustClose: () => boolean): HttpResponse {
+		return new HttpResponse(response, mustClose);
+	}
+
+	private constructor(private readonly response: ServerResponse, private readonly mustClose: () => boolean) {}
+
+	writeHead(status: number, headers: Record<string, string | string[]>): void {
+		this.#closeIfAsked();
+		this.response.writeHead(status, headers);
+	}
+
+	write(chunk: Buffer): void {
+		this.response.write(chunk);
+		if (this.response.writableLength > maximumPendingBytes) {
+			this.destroy();
+		}
+	}
+
+	end(chunk?: Buffer): void {
+		this.response.end(chunk);
+	}
+
+	destroy(): void {
+		this.response.destroy();
+	}
+
+	fail({type, retryAfterMs}: GatewayFailure): void {
+		if (this.response.headersSent) {
+			this.destroy();
+			return;
+		}
+
+		this.#closeIfAsked();
+		const {status, title} = gatewayFailures[type];
+		const headers: Record<string, string> = {'content-type': 'application/problem+json'};
+		if (retryAfterMs !== undefined) {
+			headers['retry-after'] = (retryAfterMs / 1000).toFixed(3);
+		}
+
+		const body = JSON.stringify({type: `urn:jackdawfork:${type}`, title, status});
+		headers['content-length'] = String(body.length);
+		this.response.writeHead(status, headers);
+		this.response.end(body);
+	}
+
+	#closeIfAsked(): void {
+		if (this.mustClose()) {
+			this.response.setHeader('connection', 'close');
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/forwarding/endpoint-connections.ts
@@ -0,0 +1,106 @@
+import {Client, type Dispatcher} from 'undici';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+
+/** Time until an attempt to connect counts as failed. Endpoints accept within 3 ms; a lost opening packet is sent again only after a second, when another endpoint is the better choice. */
+const connectTimeoutMs: Milliseconds = 400;
+
+/** Time without use after which a connection is closed, if the endpoint names none. */
+const idleTimeoutMs: Milliseconds = 3000;
+
+/** Part of the endpoint's own idle timeout that is kept back, because it closes while a request may be on its way. */
+const idleTimeoutMarginMs: Milliseconds = 1000;
+
+/** Longest time without use of a connection that carries a request which may run only once: an endpoint may close an idle connection without notice. */
+const unrepeatableIdleMs: Milliseconds = 1000;
+
+/** A connection to an endpoint, which carries one request at a time. */
+export type EndpointConnection = {
+	readonly client: Dispatcher;
+	/** Makes the connection available to others, or closes it. */
+	release(isReusable: boolean): void;
+};
+
+type PooledClient = {
+	readonly client: Client;
+	idleSince: Milliseconds;
+};
+
+/** The connections to one endpoint's address. */
+export class EndpointConnections {
+	static create(address: string, clock: Clock, onConnect: () => void): EndpointConnections {
+		return new EndpointConnections(address, clock, onConnect);
+	}
+
+	/** Least recently used first. */
+	readonly #idle: PooledClient[] = [];
+	readonly #clients = new Set<Client>();
+
+	private constructor(private readonly address: string, private readonly clock: Clock, private readonly onConnect: () => void) {}
+
+	get size(): number {
+		return this.#clients.size;
+	}
+
+	/** @param isRepeatable whether a request that meets a closed connection may be sent again */
+	acquire(isRepeatable: boolean): EndpointConnection {
+		const now = this.clock.now();
+		let pooled = this.#idle.pop();
+		while (pooled !== undefined && (pooled.client.closed || pooled.client.destroyed || (!isRepeatable && now - pooled.idleSince > unrepeatableIdleMs))) {
+			this.#close(pooled.client);
+			pooled = this.#idle.pop();
+		}
+
+		const client = pooled?.client ?? this.#open();
+		let isReleased = false;
+		return {
+			client,
+			release: isReusable => {
+				if (isReleased) {
+					return;
+				}
+
+				isReleased = true;
+				if (isReusable && !client.destroyed) {
+					this.#idle.push({client, idleSince: this.clock.now()});
+				} else {
+					this.#close(client);
+				}
+			},
+		};
+	}
+
+	/** Closes connections that nobody has used for a while. */
+	closeIdle(): void {
+		const now = this.clock.now();
+		while (this.#idle[0] !== undefined && now - this.#idle[0].idleSince > idleTimeoutMs) {
+			this.#close(this.#idle.shift()!.client);
+		}
+	}
+
+	async dispose(): Promise<void> {
+		const clients = [...this.#clients];
+		this.#clients.clear();
+		this.#idle.length = 0;
+		await Promise.all(clients.map(async client => client.destroy()));
+	}
+
+	#open(): Client {
+		const client = new Client(`http://${this.address}`, {
+			// Whoever sends a request bounds its time.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: idleTimeoutMs,
+			keepAliveTimeoutThreshold: idleTimeoutMarginMs,
+			connect: {timeout: connectTimeoutMs, noDelay: true},
+			pipelining: 1,
+		});
+		client.on('connect', this.onConnect);
+		this.#clients.add(client);
+		return client;
+	}
+
+	#close(client: Client): void {
+		this.#clients.delete(client);
+		void client.destroy();
+	}
+}
--- /dev/null
+++ b/src/gateway/forwarding/exchange.ts
@@ -0,0 +1,110 @@
+import type {Buffer} from 'node:buffer';
+import type {Dispatcher} from 'undici';
+import type {EndpointConnection} from './endpoint-connections.js';
+
+export type ResponseHead = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+};
+
+/** How an exchange ended. `not-sent` is certain: no byte of the request was written. */
+export type ExchangeEnd
+	= | {readonly kind: 'complete'}
+		| {readonly kind: 'not-sent'; readonly error: Error}
+		| {readonly kind: 'broken'; readonly hasHead: boolean; readonly error: Error}
+		| {readonly kind: 'cancelled'; readonly isSent: boolean; readonly error: Error};
+
+export type ExchangeOptions = {
+	readonly connection: EndpointConnection;
+	readonly method: string;
+	/** Path and query. */
+	readonly path: string;
+	/** Name and value by turns. */
+	readonly headers: string[];
+	readonly body?: Buffer;
+	/** Asked in the synchronous step that writes the request. When it answers false, nothing is written. */
+	readonly maySend: () => boolean;
+	readonly onHead: (head: ResponseHead) => void;
+	readonly onData: (chunk: Buffer) => void;
+	readonly onEnd: (end: ExchangeEnd) => void;
+};
+
+/**
+One HTTP request to an endpoint and its response.
+
+undici calls `onRequestStart` in the synchronous step that writes the request. An abort in there is certain to send nothing.
+*/
+export class Exchange implements Dispatcher.DispatchHandler {
+	static start(options: ExchangeOptions): Exchange {
+		const exchange = new Exchange(options);
+		const {connection, method, path, headers, body} = options;
+		connection.client.dispatch({
+			method: method as Dispatcher.HttpMethod, path, headers, body,
+		}, exchange);
+		return exchange;
+	}
+
+	#controller: Dispatcher.DispatchController | undefined;
+	#isSent = false;
+	#hasHead = false;
+	#isEnded = false;
+
+	private constructor(private readonly options: ExchangeOptions) {}
+
+	get isSent(): boolean {
+		return this.#isSent;
+	}
+
+	/** Ends the exchange; the endpoint sees its connection close. A request that was not written yet never is. */
+	cancel(error: Error): void {
+		this.#end({kind: 'cancelled', isSent: this.#isSent, error});
+		this.#controller?.abort(error);
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#isEnded || this.#isSent) {
+			controller.abort(new Error('the exchange has already started or ended'));
+			return;
+		}
+
+		if (!this.options.maySend()) {
+			controller.abort(new Error('the request may no longer be sent'));
+			return;
+		}
+
+		this.#controller = controller;
+		this.#isSent = true;
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: ResponseHead['headers']): void {
+		// Interim responses precede the real one.
+		if (status >= 200 && !this.#isEnded) {
+			this.#hasHead = true;
+			this.options.onHead({status, headers});
+		}
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (!this.#isEnded && chunk.byteLength > 0) {
+			this.options.onData(chunk);
+		}
+	}
+
+	onResponseEnd(): void {
+		this.#end({kind: 'complete'});
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+		this.#end(this.#isSent ? {kind: 'broken', hasHead: this.#hasHead, error} : {kind: 'not-sent', error});
+	}
+
+	#end(end: ExchangeEnd): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		this.options.connection.release(end.kind === 'complete');
+		this.options.onEnd(end);
+	}
+}
--- /dev/null
+++ b/src/gateway/forwarding/forward-task.ts
@@ -0,0 +1,456 @@
+import {Buffer} from 'node:buffer';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {GatewayFailure, GatewayFailureType} from '../callers/failures.js';
+import type {CallerRequestFacts} from '../callers/types.js';
+import type {RepeatBudgets} from '../limits/repeat-budgets.js';
+import type {DecisionLog} from '../observability/decision-log.js';
+import type {Protocol} from '../protocol.js';
+import {runOutcomes, type RunOutcome} from '../scheduling/endpoint-load.js';
+import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
+import {refusalReasons, type RefusalReason, type WaitingRequest} from '../scheduling/types.js';
+import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
+import type {EndpointConnection} from './endpoint-connections.js';
+import {EventSplitter} from './event-splitter.js';
+import {Exchange, type ExchangeEnd, type ResponseHead} from './exchange.js';
+
+/** Silence of a stream that has begun after which it is continued elsewhere. Callers leave after 2,000 ms, and an engine that reads a long prompt pauses for up to about 1,000 ms. */
+const streamSilenceMs: Milliseconds = 1400;
+
+/** Time past the end of a request after which it is ended here: the endpoint, which knows the same end, answers first. */
+const endMarginMs: Milliseconds = 120;
+
+/** Events of a stream from which its pace is learnt. */
+const eventsForPace = 4;
+
+/** Largest response of a plain service that is kept until it is whole, in bytes. */
+const maximumKeptBytes = 4_194_304;
+
+/** Where the answer goes. */
+export type CallerResponse = {
+	writeHead(status: number, headers: Record<string, string | string[]>): void;
+	write(chunk: Buffer): void;
+	end(chunk?: Buffer): void;
+	/** Ends the connection so that the answer does not look complete. */
+	destroy(): void;
+	fail(failure: GatewayFailure): void;
+};
+
+export type ForwardRequest = {
+	readonly facts: CallerRequestFacts & {readonly requestId: string};
+	readonly method: string;
+	readonly path: string;
+	readonly rawHeaders: readonly string[];
+	readonly body?: Buffer;
+	readonly route: Route;
+	readonly service: string;
+	readonly tier: number;
+	readonly workspace?: string;
+	readonly arrivedAt: Milliseconds;
+	readonly configurationVersion: number;
+};
+
+export type ForwardContext = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly protocol: Protocol;
+	readonly scheduler: ServiceScheduler;
+	readonly budgets: RepeatBudgets;
+	readonly members: () => number;
+	readonly endpoint: (id: string) => EndpointRecord | undefined;
+	readonly connect: (endpoint: EndpointRecord, isRepeatable: boolean) => EndpointConnection;
+	/** Whether a request that arrived then may still be sent to the endpoint. */
+	readonly maySend: (arrivedAt: Milliseconds, endpoint: EndpointRecord) => boolean;
+	readonly onEnd: (task: ForwardTask, result: ForwardResult) => void;
+};
+
+export type ForwardResult = {
+	readonly outcome: 'answered' | 'cut' | 'caller-left' | GatewayFailureType;
+	readonly status?: number;
+	/** Whether an endpoint may have run it. */
+	readonly mayHaveRun: boolean;
+	readonly firstMs?: Milliseconds;
+};
+
+/** One try at an endpoint. */
+type Attempt = {
+	readonly endpointId: string;
+	readonly sentAt: Milliseconds;
+	exchange?: Exchange;
+	head?: ResponseHead;
+	/** What the response turned out to be. */
+	kind: 'pending' | 'relay' | 'rejected' | 'failed' | 'foreign';
+	readonly kept: Buffer[];
+	keptBytes: number;
+	splitter?: EventSplitter;
+	progressAt: Milliseconds;
+	firstEventAt?: Milliseconds;
+	events: number;
+	isSilent: boolean;
+};
+
+/** One request of a caller on its way through the queue, to one endpoint or several in turn, and back. */
+export class ForwardTask {
+	static create(request: ForwardRequest, response: CallerResponse, context: ForwardContext): ForwardTask {
+		return new ForwardTask(request, response, context);
+	}
+
+	readonly #giveUpAt: Milliseconds;
+	readonly #waiting: WaitingRequest;
+	/** Endpoints that are not to be tried (again). */
+	readonly #excluded = new Set<string>();
+	/** Endpoints that may have run it. */
+	readonly #ranAt = new Set<string>();
+	#attempt: Attempt | undefined;
+	#sends = 0;
+	#hasHeadSent = false;
+	#firstMs: Milliseconds | undefined;
+	#lastEventId: string | undefined;
+	#isEnded = false;
+
+	private constructor(private readonly request: ForwardRequest, private readonly response: CallerResponse, private readonly context: ForwardContext) {
+		const {facts, route, arrivedAt, tier} = request;
+		this.#giveUpAt = arrivedAt + Math.min(facts.remainingMs ?? Infinity, route.timeoutMs);
+		this.#lastEventId = facts.lastEventId;
+		this.#waiting = {
+			requestId: facts.requestId,
+			tier,
+			arrivedAt,
+			targetAt: arrivedAt + route.targetLatencyMs,
+			giveUpAt: this.#giveUpAt,
+			promptTokens: facts.tokens?.prompt ?? 0,
+			outputTokens: facts.tokens?.output ?? 0,
+			promptParts: facts.promptParts,
+			excluded: this.#excluded,
+			start: endpointId => {
+				this.#start(endpointId);
+			},
+			refuse: (reason, retryAfterMs) => {
+				this.#refuse(reason, retryAfterMs);
+			},
+		};
+	}
+
+	get requestId(): string {
+		return this.request.facts.requestId;
+	}
+
+	get route(): Route {
+		return this.request.route;
+	}
+
+	/** Whether an endpoint works on it. */
+	get isRunning(): boolean {
+		return this.#attempt !== undefined;
+	}
+
+	start(): void {
+		this.context.budgets.noteRequest(this.request.service, this.request.arrivedAt);
+		this.context.scheduler.submit(this.#waiting);
+	}
+
+	/** Ends what takes too long. Called again and again. */
+	check(now: Milliseconds): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		if (attempt === undefined) {
+			if (now >= this.#giveUpAt && this.context.scheduler.withdraw(this.#waiting)) {
+				this.#refuse(refusalReasons.waitedTooLong, 0);
+			}
+
+			return;
+		}
+
+		if (now >= this.#giveUpAt + endMarginMs) {
+			this.#attempt = undefined;
+			this.context.scheduler.ended(attempt.endpointId, attempt.head === undefined ? runOutcomes.silent : runOutcomes.cancelled);
+			attempt.exchange?.cancel(new Error('the time of the request has ended'));
+			this.#fail({type: 'timedOut'});
+		} else if (this.request.route.isResumable && attempt.events > 0 && now - attempt.progressAt > streamSilenceMs && this.#mayRepeat(attempt, now) && this.#takeBudget(now)) {
+			attempt.isSilent = true;
+			attempt.exchange?.cancel(new Error(`the stream was silent for ${streamSilenceMs} ms`));
+		}
+	}
+
+	/** The caller has left: the endpoint must not go on working. */
+	callerLeft(): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		this.#attempt = undefined;
+		this.context.scheduler.withdraw(this.#waiting);
+		if (attempt !== undefined) {
+			attempt.exchange?.cancel(new Error('the caller has left'));
+			this.context.scheduler.ended(attempt.endpointId, runOutcomes.cancelled);
+		}
+
+		this.#end({outcome: 'caller-left', mayHaveRun: this.#ranAt.size > 0});
+	}
+
+	#isRepeatable(): boolean {
+		return this.request.route.kind === requestKinds.idempotent || this.request.route.isResumable;
+	}
+
+	#start(endpointId: string): void {
+		const {context, request} = this;
+		const now = context.clock.now();
+		const endpoint = context.endpoint(endpointId);
+		const attempt: Attempt = {
+			endpointId, sentAt: now, kind: 'pending', kept: [], keptBytes: 0, progressAt: now, events: 0, isSilent: false,
+			splitter: request.route.isResumable ? EventSplitter.create() : undefined,
+		};
+		this.#attempt = attempt;
+		if (endpoint === undefined) {
+			this.#attemptEnded(attempt, {kind: 'not-sent', error: new Error('the endpoint is gone')});
+			return;
+		}
+
+		this.#sends++;
+		context.log.event('request-dispatched', {
+			requestId: this.requestId,
+			route: request.route.name,
+			endpoint: endpointId,
+			send: this.#sends,
+			waitedMs: Math.round(now - request.arrivedAt),
+			remainingMs: Math.round(this.#giveUpAt - now),
+			version: request.configurationVersion,
+			afterEvent: this.#lastEventId,
+		});
+		const connection = context.connect(endpoint, this.#isRepeatable());
+		attempt.exchange = Exchange.start({
+			connection,
+			method: request.method,
+			path: request.path,
+			headers: context.protocol.encodeEndpointHeaders({
+				rawHeaders: request.rawHeaders,
+				endpointId,
+				remainingMs: Math.max(1, Math.floor(this.#giveUpAt - now)),
+				workspace: request.workspace,
+				lastEventId: this.#lastEventId,
+			}),
+			body: request.body,
+			maySend: () => {
+				const maySend = !this.#isEnded && this.#attempt === attempt && context.maySend(request.arrivedAt, endpoint);
+				if (maySend) {
+					this.#ranAt.add(endpointId);
+				}
+
+				return maySend;
+			},
+			onHead: head => {
+				this.#onHead(attempt, head);
+			},
+			onData: chunk => {
+				this.#onData(attempt, chunk);
+			},
+			onEnd: end => {
+				this.#attemptEnded(attempt, end);
+			},
+		});
+	}
+
+	#onHead(attempt: Attempt, head: ResponseHead): void {
+		attempt.head = head;
+		attempt.progressAt = this.context.clock.now();
+		const facts = this.context.protocol.decodeResponseHeaders(head.status, head.headers);
+		if (facts.requestId !== undefined && facts.requestId !== this.requestId) {
+			attempt.kind = 'foreign';
+			this.context.log.event('foreign-answer', {requestId: this.requestId, endpoint: attempt.endpointId, answerTo: facts.requestId});
+			attempt.exchange?.cancel(new Error('the answer belongs to another request'));
+		} else if (facts.isNotRun) {
+			attempt.kind = 'rejected';
+		} else if (!facts.isSealed || facts.hasContentEncoding) {
+			attempt.kind = 'foreign';
+			attempt.exchange?.cancel(new Error('the answer is not the endpoint\'s own'));
+		} else {
+			attempt.kind = head.status >= 500 ? 'failed' : 'relay';
+		}
+	}
+
+	#onData(attempt: Attempt, chunk: Buffer): void {
+		attempt.progressAt = this.context.clock.now();
+		if (attempt.kind === 'relay' && this.#isStream(attempt)) {
+			this.#relayEvents(attempt, chunk);
+			return;
+		}
+
+		attempt.kept.push(chunk);
+		attempt.keptBytes += chunk.byteLength;
+		if (attempt.keptBytes > maximumKeptBytes) {
+			attempt.exchange?.cancel(new Error(`the response is longer than ${maximumKeptBytes} bytes`));
+		}
+	}
+
+	#isStream(attempt: Attempt): boolean {
+		return this.request.route.kind === requestKinds.streaming && attempt.head!.status < 300;
+	}
+
+	#relayEvents(attempt: Attempt, chunk: Buffer): void {
+		let bytes = chunk;
+		if (attempt.splitter !== undefined) {
+			const whole = attempt.splitter.push(chunk);
+			if (whole === undefined) {
+				return;
+			}
+
+			bytes = whole.bytes;
+			this.#lastEventId = whole.lastId ?? this.#lastEventId;
+		}
+
+		attempt.events++;
+		if (attempt.firstEventAt === undefined) {
+			attempt.firstEventAt = attempt.progressAt;
+			this.#firstMs ??= attempt.progressAt - this.request.arrivedAt;
+		}
+
+		this.#sendHead(attempt);
+		this.response.write(bytes);
+	}
+
+	/** A stream that goes on elsewhere keeps the head of its first response. */
+	#sendHead(attempt: Attempt): void {
+		if (!this.#hasHeadSent) {
+			this.#hasHeadSent = true;
+			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers));
+		}
+	}
+
+	#attemptEnded(attempt: Attempt, end: ExchangeEnd): void {
+		if (this.#attempt !== attempt) {
+			return;
+		}
+
+		this.#attempt = undefined;
+		const outcome = this.#outcomeOf(attempt, end);
+		const now = this.context.clock.now();
+		const eventMs = attempt.events >= eventsForPace ? (attempt.progressAt - attempt.firstEventAt!) / (attempt.events - 1) : undefined;
+		if (outcome === runOutcomes.broken) {
+			// The endpoint may have been restarted and be cold.
+			this.context.scheduler.suspectCold(attempt.endpointId);
+		}
+
+		if (outcome === runOutcomes.rejected || end.kind === 'not-sent') {
+			this.#ranAt.delete(attempt.endpointId);
+		}
+
+		if (outcome !== runOutcomes.completed) {
+			this.context.log.event('attempt-failed', {
+				requestId: this.requestId, endpoint: attempt.endpointId, outcome, end: end.kind, status: attempt.head?.status,
+				reason: 'error' in end ? end.error.message : undefined, afterMs: Math.round(now - attempt.sentAt), events: attempt.events,
+			});
+		}
+
+		// The place is given on only after this request has had its chance to be repeated.
+		if (outcome === runOutcomes.completed) {
+			this.#finish(attempt);
+		} else {
+			this.#excluded.add(attempt.endpointId);
+			this.#repeatOrFail(attempt, outcome, end, now);
+		}
+
+		this.context.scheduler.ended(attempt.endpointId, outcome, eventMs);
+	}
+
+	#outcomeOf(attempt: Attempt, end: ExchangeEnd): RunOutcome {
+		if (attempt.isSilent) {
+			return runOutcomes.silent;
+		}
+
+		if (end.kind !== 'complete') {
+			return runOutcomes.broken;
+		}
+
+		switch (attempt.kind) {
+			case 'relay': {
+				return attempt.splitter?.hasPartialEvent === true ? runOutcomes.broken : runOutcomes.completed;
+			}
+
+			case 'rejected': {
+				return runOutcomes.rejected;
+			}
+
+			case 'failed': {
+				return runOutcomes.failed;
+			}
+
+			default: {
+				return runOutcomes.broken;
+			}
+		}
+	}
+
+	#finish(attempt: Attempt): void {
+		const isStream = this.#isStream(attempt);
+		this.#sendHead(attempt);
+		if (isStream) {
+			this.response.end();
+		} else {
+			this.response.end(Buffer.concat(attempt.kept));
+		}
+
+		this.#firstMs ??= this.context.clock.now() - this.request.arrivedAt;
+		this.#end({outcome: 'answered', status: attempt.head!.status, mayHaveRun: true, firstMs: this.#firstMs});
+	}
+
+	#repeatOrFail(attempt: Attempt, outcome: RunOutcome, end: ExchangeEnd, now: Milliseconds): void {
+		if (end.kind === 'not-sent') {
+			// It has arrived nowhere, so it needs no budget.
+			this.context.scheduler.submit(this.#waiting);
+			return;
+		}
+
+		const isNotRun = outcome === runOutcomes.rejected;
+		if (isNotRun ? this.#takeBudget(now) : attempt.isSilent || (this.#mayRepeat(attempt, now) && this.#takeBudget(now))) {
+			this.context.scheduler.submit(this.#waiting);
+		} else if (isNotRun) {
+			this.#fail(this.#ranAt.size === 0 ? {type: 'notRun', retryAfterMs: 500} : {type: 'endpointFailed'});
+		} else if (attempt.kind === 'failed' && end.kind === 'complete' && !this.#hasHeadSent) {
+			this.#finish(attempt);
+		} else {
+			this.#fail({type: 'endpointFailed'});
+		}
+	}
+
+	/** Whether a request that may have run may be sent to another endpoint. */
+	#mayRepeat(attempt: Attempt, now: Milliseconds): boolean {
+		const {route} = this.request;
+		return this.#isRepeatable() && this.#ranAt.size < route.maximumEndpoints && now < this.#giveUpAt
+			&& (!this.#hasHeadSent || (attempt.splitter !== undefined && this.#lastEventId !== undefined));
+	}
+
+	#takeBudget(now: Milliseconds): boolean {
+		return this.context.budgets.take(this.request.service, this.context.members(), now);
+	}
+
+	#refuse(reason: RefusalReason, retryAfterMs: Milliseconds): void {
+		const types = {
+			[refusalReasons.noEndpoint]: 'noEndpoint',
+			[refusalReasons.overloaded]: 'overloaded',
+			[refusalReasons.waitedTooLong]: 'waitedTooLong',
+		} as const;
+		this.#fail(this.#ranAt.size === 0 ? {type: types[reason], retryAfterMs} : {type: 'endpointFailed'});
+	}
+
+	#fail(failure: GatewayFailure): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		if (this.#hasHeadSent) {
+			this.response.destroy();
+			this.#end({outcome: 'cut', mayHaveRun: true, firstMs: this.#firstMs});
+		} else {
+			this.response.fail(failure);
+			this.#end({outcome: failure.type, mayHaveRun: this.#ranAt.size > 0});
+		}
+	}
+
+	#end(result: ForwardResult): void {
+		this.#isEnded = true;
+		this.context.onEnd(this, result);
+	}
+}
--- /dev/null
+++ b/src/gateway/gateway-process.ts
@@ -0,0 +1,423 @@
+import {randomInt} from 'node:crypto';
+import type {Clock, Milliseconds} from '../shared/clock.js';
+import {DisposableStore} from '../shared/disposable-store.js';
+import {Admission} from './callers/admission.js';
+import {CallerServer, type ReadRequest} from './callers/caller-server.js';
+import {EndpointConnections} from './forwarding/endpoint-connections.js';
+import {ForwardTask, type ForwardResult} from './forwarding/forward-task.js';
+import {ColdLimits} from './limits/cold-limits.js';
+import {RepeatBudgets} from './limits/repeat-budgets.js';
+import {WorkspaceQuotas} from './limits/workspace-quotas.js';
+import {BeatTask} from './membership/beat-task.js';
+import {PeerGroup, type PeerChange} from './membership/peer-group.js';
+import type {Beat} from './membership/types.js';
+import type {DecisionLog} from './observability/decision-log.js';
+import {GatewayMetrics} from './observability/gateway-metrics.js';
+import {PageServer} from './observability/page-server.js';
+import type {Protocol} from './protocol.js';
+import {ServiceScheduler} from './scheduling/service-scheduler.js';
+import type {InstanceSettings} from './settings.js';
+import {Freshness} from './site/freshness.js';
+import {SiteReaderTask, type SiteSource} from './site/site-reader-task.js';
+import {SiteState, type SiteChange} from './site/site-state.js';
+import type {EndpointRecord, Service} from './site/types.js';
+
+/** Time between two looks at requests whose time may have ended. */
+const checkIntervalMs: Milliseconds = 50;
+
+/** Time after the request to stop during which new requests are taken: the balancer sends callers here until two of its questions, one second apart, have failed. */
+const acceptAfterStopMs: Milliseconds = 3000;
+
+/** Time before the kill at which the process ends itself even with requests under way. */
+const stopMarginMs: Milliseconds = 350;
+
+/** Time in which a new process hears the others, after which it knows its part of a cold endpoint's rate. */
+const membersKnownAfterMs: Milliseconds = 1500;
+
+/** Port for metrics, counted from the first internal port. */
+const metricsPortOffset = 1;
+
+const incarnations = 2 ** 47;
+
+export type GatewayProcessOptions = {
+	readonly settings: InstanceSettings;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly protocol: Protocol;
+	readonly source: SiteSource;
+};
+
+/** The daemon on each instance: it wires the parts together and owns their life. */
+export class GatewayProcess {
+	static create(options: GatewayProcessOptions): GatewayProcess {
+		return new GatewayProcess(options);
+	}
+
+	readonly #disposables = DisposableStore.create();
+	readonly #metrics = GatewayMetrics.create();
+	readonly #site = SiteState.create();
+	readonly #peers: PeerGroup;
+	readonly #quotas: WorkspaceQuotas;
+	readonly #coldLimits: ColdLimits;
+	readonly #budgets: RepeatBudgets;
+	readonly #freshness: Freshness;
+	readonly #admission: Admission;
+	readonly #callers: CallerServer;
+	readonly #reader: SiteReaderTask;
+	readonly #beats: BeatTask;
+	readonly #schedulers = new Map<string, ServiceScheduler>();
+	readonly #connections = new Map<string, EndpointConnections>();
+	readonly #tasks = new Set<ForwardTask>();
+	readonly #startedAt: Milliseconds;
+	#stopAt: Milliseconds | undefined;
+	#wasReady = false;
+
+	private constructor(private readonly options: GatewayProcessOptions) {
+		const {settings, clock, log, source} = options;
+		this.#startedAt = clock.now();
+		this.#peers = PeerGroup.create(settings.host);
+		this.#peers.useSeeds(settings.seedHosts);
+		this.#quotas = WorkspaceQuotas.create({bounds: settings.bounds, now: this.#startedAt});
+		this.#coldLimits = ColdLimits.create({bounds: settings.bounds, ownHost: settings.host});
+		this.#budgets = RepeatBudgets.create(settings.bounds);
+		this.#freshness = Freshness.create(settings.bounds.revocationMs);
+		this.#admission = Admission.create({
+			site: this.#site, freshness: this.#freshness, quotas: this.#quotas, clock, draw: Math.random,
+		});
+		this.#callers = CallerServer.create({
+			address: settings.callerAddress,
+			clock,
+			log,
+			onRequest: request => {
+				this.#onRequest(request);
+			},
+		});
+		this.#reader = SiteReaderTask.create({
+			source,
+			state: this.#site,
+			clock,
+			log,
+			onChanges: changes => {
+				this.#onSiteChanges(changes);
+			},
+			onRead: (outcome, durationMs) => {
+				this.#metrics.storeRead(outcome, durationMs);
+			},
+		});
+		this.#beats = BeatTask.create({
+			host: settings.host,
+			availabilityZone: settings.availabilityZone,
+			port: settings.internalPorts.first,
+			incarnation: randomInt(incarnations),
+			clock,
+			log,
+			content: () => ({runs: this.#ownRuns(), usage: this.#quotas.usage()}),
+			targets: () => this.#peers.hosts(),
+			presentHosts: () => this.#peers.presentHosts(),
+			onBeat: beat => {
+				this.#onBeat(beat);
+			},
+			onTick: () => {
+				this.#onPeerChanges(this.#peers.expire(clock.now()));
+				this.#quotas.estimateSilentPeers(clock.now());
+			},
+		});
+	}
+
+	get isReady(): boolean {
+		return this.#stopAt === undefined && this.#freshness.isReady(this.options.clock.now(), this.#site.confirmedAt);
+	}
+
+	/** @throws {Error} when an address can't be bound */
+	async start(): Promise<void> {
+		const {settings, protocol, log} = this.options;
+		log.event('started', {
+			instance: settings.instanceName, host: settings.host, availabilityZone: settings.availabilityZone, isFirstStart: settings.isFirstStart, seeds: settings.seedHosts.join(','),
+		});
+		this.#reader.start();
+		this.#disposables.add(this.#reader);
+		await this.#beats.start();
+		this.#disposables.add(this.#beats);
+		await this.#callers.start();
+		await this.#startPages(settings, protocol);
+		this.#disposables.interval(() => {
+			this.#check();
+		}, checkIntervalMs);
+	}
+
+	/** Takes over settings that may change while the process runs. */
+	reload(settings: InstanceSettings): void {
+		this.#peers.useSeeds(settings.seedHosts);
+		this.options.log.event('reloaded', {seeds: settings.seedHosts.join(',')});
+	}
+
+	/** Ends gracefully: callers go elsewhere, and requests under way are finished as far as the time allows. */
+	async stop(): Promise<void> {
+		const {clock, settings, log} = this.options;
+		if (this.#stopAt !== undefined) {
+			return;
+		}
+
+		const stopAt = clock.now();
+		this.#stopAt = stopAt;
+		log.event('stopping', {openRequests: this.#callers.open, running: this.#tasks.size});
+		this.#callers.beginStop();
+		const endAt = stopAt + settings.bounds.stopMs - stopMarginMs;
+		await this.#wait(() => clock.now() >= endAt || (clock.now() - stopAt >= acceptAfterStopMs && this.#callers.open === 0));
+		this.#beats.sendLeaving();
+		log.event('stopped', {openRequests: this.#callers.open, afterMs: Math.round(clock.now() - stopAt)});
+	}
+
+	async dispose(): Promise<void> {
+		this.#callers.closeAllConnections();
+		await this.#disposables.dispose();
+		await Promise.all([...this.#connections.values()].map(async connections => connections.dispose()));
+	}
+
+	async #startPages(settings: InstanceSettings, protocol: Protocol): Promise<void> {
+		const ready = PageServer.create(settings.readinessAddress, new Map([[protocol.readinessPath, () => ({status: this.isReady ? 200 : 503})]]));
+		const metrics = PageServer.create({host: settings.host, port: settings.internalPorts.first + metricsPortOffset}, new Map([
+			['/metrics', async () => ({status: 200, body: await this.#renderMetrics()})],
+		]));
+		for (const server of [ready, metrics]) {
+			// eslint-disable-next-line no-await-in-loop -- the second is of no use when the first can't start
+			await server.start();
+			this.#disposables.add(server);
+		}
+	}
+
+	#onRequest({message, body, arrivedAt, response, onLeave}: ReadRequest): void {
+		const {protocol, clock, log} = this.options;
+		const facts = protocol.decodeRequestHeaders(message.headers);
+		const path = message.url ?? '';
+		if (this.#stopAt !== undefined && clock.now() - this.#stopAt > acceptAfterStopMs) {
+			log.event('request-refused', {requestId: facts.requestId, reason: 'stopping'});
+			response.fail({type: 'stopping', retryAfterMs: 0});
+			return;
+		}
+
+		const admitted = this.#admission.decide(facts, path, arrivedAt);
+		if (admitted.kind === 'rejected') {
+			log.event('request-refused', {
+				requestId: facts.requestId, reason: admitted.failure.type, route: admitted.route?.name, version: this.#site.routes?.version, confirmedAgeMs: this.#confirmedAgeMs(), retryAfterMs: admitted.failure.retryAfterMs,
+			});
+			this.#metrics.requestEnded(admitted.route?.kind ?? 'none', admitted.failure.type);
+			response.fail(admitted.failure);
+			return;
+		}
+
+		const {route, service, tier, workspace, units, version} = admitted;
+		const task = ForwardTask.create({
+			facts: {...facts, requestId: facts.requestId!},
+			method: message.method ?? 'GET',
+			path,
+			rawHeaders: message.rawHeaders,
+			body,
+			route,
+			service,
+			tier,
+			workspace: workspace?.name,
+			arrivedAt,
+			configurationVersion: version,
+		}, response, {
+			clock,
+			log,
+			protocol,
+			scheduler: this.#scheduler(service),
+			budgets: this.#budgets,
+			members: () => this.#peers.size + 1,
+			endpoint: id => this.#site.endpoints.get(id),
+			connect: (endpoint, isRepeatable) => this.#connectionsTo(endpoint.address).acquire(isRepeatable),
+			maySend: (at, endpoint) => this.#maySend(at, endpoint),
+			onEnd: (ended, result) => {
+				this.#tasks.delete(ended);
+				if (!result.mayHaveRun && workspace !== undefined) {
+					this.#quotas.giveBack(workspace.name, units);
+				}
+
+				this.#logEnd(ended, tier, arrivedAt, result);
+			},
+		});
+		this.#tasks.add(task);
+		onLeave(() => {
+			task.callerLeft();
+		});
+		task.start();
+	}
+
+	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
+		const current = this.#site.endpoints.get(endpoint.id);
+		return current !== undefined && !current.isLeaving && current.startedAt === endpoint.startedAt
+			&& !this.#site.evacuatedZones.has(current.availabilityZone)
+			&& this.#freshness.permits(arrivedAt, this.#site.confirmedAt);
+	}
+
+	#logEnd(task: ForwardTask, tier: number, arrivedAt: Milliseconds, {outcome, status, firstMs}: ForwardResult): void {
+		this.options.log.event('request-ended', {
+			requestId: task.requestId, outcome, status, firstMs: firstMs === undefined ? undefined : Math.round(firstMs), totalMs: Math.round(this.options.clock.now() - arrivedAt),
+		});
+		this.#metrics.requestEnded(task.route.kind, outcome);
+		if (firstMs !== undefined) {
+			this.#metrics.firstResponse(task.route.kind, tier, firstMs);
+		}
+	}
+
+	#onBeat(beat: Beat): void {
+		const now = this.options.clock.now();
+		this.#onPeerChanges(this.#peers.receive(beat, now));
+		this.#quotas.applyPeer(beat.host, beat.incarnation, beat.usage, now);
+		this.#pumpAll();
+	}
+
+	#onPeerChanges(changes: readonly PeerChange[]): void {
+		for (const {kind, ...fields} of changes) {
+			this.options.log.event(kind, fields);
+			if (kind === 'peer-forgotten') {
+				this.#quotas.forgetPeer(fields.host);
+			}
+		}
+	}
+
+	#onSiteChanges(changes: readonly SiteChange[]): void {
+		const {log, clock} = this.options;
+		for (const change of changes) {
+			log.event(change.kind, this.#fieldsOf(change));
+		}
+
+		const {routes} = this.#site;
+		if (routes !== undefined && changes.some(change => change.kind === 'configuration')) {
+			this.#callers.useLimits(routes.configuration.limits);
+			this.#quotas.configure(routes.workspaces(), clock.now());
+			for (const service of routes.services()) {
+				this.#scheduler(service.name).useService(service);
+			}
+		}
+
+		for (const [service, scheduler] of this.#schedulers) {
+			scheduler.useEndpoints([...this.#site.endpoints.values()].filter(endpoint => endpoint.service === service), this.#site.evacuatedZones);
+		}
+	}
+
+	#fieldsOf(change: SiteChange): Record<string, string | number | boolean | undefined> {
+		if ('endpoint' in change) {
+			const {id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt} = change.endpoint;
+			return {
+				endpoint: id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt,
+			};
+		}
+
+		if ('record' in change) {
+			return {key: change.record.key, reason: change.record.reason};
+		}
+
+		const {kind, ...fields} = change;
+		return fields;
+	}
+
+	#scheduler(name: string): ServiceScheduler {
+		let scheduler = this.#schedulers.get(name);
+		if (scheduler === undefined) {
+			const {clock, settings} = this.options;
+			const service: Service = this.#site.routes!.service(name)!;
+			scheduler = ServiceScheduler.create({
+				service,
+				clock,
+				coldLimits: this.#coldLimits,
+				availabilityZone: settings.availabilityZone,
+				peerRunsAt: id => this.#peers.runsAt(id),
+				members: () => this.#peers.members(),
+				knowsMembers: () => clock.now() - this.#startedAt > membersKnownAfterMs,
+			});
+			this.#schedulers.set(name, scheduler);
+			scheduler.useEndpoints([...this.#site.endpoints.values()].filter(endpoint => endpoint.service === name), this.#site.evacuatedZones);
+		}
+
+		return scheduler;
+	}
+
+	#connectionsTo(address: string): EndpointConnections {
+		let connections = this.#connections.get(address);
+		if (connections === undefined) {
+			connections = EndpointConnections.create(address, this.options.clock, () => {
+				this.#metrics.connected();
+			});
+			this.#connections.set(address, connections);
+		}
+
+		return connections;
+	}
+
+	#ownRuns(): Array<[string, number]> {
+		const runs: Array<[string, number]> = [];
+		for (const scheduler of this.#schedulers.values()) {
+			for (const [id, load] of scheduler.loads) {
+				if (load.running > 0) {
+					runs.push([id, load.running]);
+				}
+			}
+		}
+
+		return runs;
+	}
+
+	#check(): void {
+		const now = this.options.clock.now();
+		for (const task of this.#tasks) {
+			task.check(now);
+		}
+
+		this.#pumpAll();
+		for (const connections of this.#connections.values()) {
+			connections.closeIdle();
+		}
+
+		const {isReady} = this;
+		if (isReady !== this.#wasReady) {
+			this.#wasReady = isReady;
+			this.options.log.event(isReady ? 'ready' : 'not-ready', {confirmedAgeMs: this.#confirmedAgeMs(), isStopping: this.#stopAt !== undefined});
+		}
+	}
+
+	#pumpAll(): void {
+		for (const scheduler of this.#schedulers.values()) {
+			scheduler.pump();
+		}
+	}
+
+	#confirmedAgeMs(): number | undefined {
+		const {confirmedAt} = this.#site;
+		return confirmedAt === undefined ? undefined : Math.round(this.options.clock.now() - confirmedAt);
+	}
+
+	async #renderMetrics(): Promise<string> {
+		const waiting: Record<string, number> = {};
+		for (const [service, scheduler] of this.#schedulers) {
+			waiting[service] = scheduler.waiting;
+		}
+
+		let endpointConnections = 0;
+		for (const connections of this.#connections.values()) {
+			endpointConnections += connections.size;
+		}
+
+		return this.#metrics.render({
+			waiting,
+			running: [...this.#tasks].filter(task => task.isRunning).length,
+			openRequests: this.#callers.open,
+			presentPeers: this.#peers.presentHosts().length,
+			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
+			endpointConnections,
+		});
+	}
+
+	async #wait(isDone: () => boolean): Promise<void> {
+		return new Promise(resolve => {
+			const timer = setInterval(() => {
+				if (isDone()) {
+					clearInterval(timer);
+					resolve();
+				}
+			}, checkIntervalMs);
+		});
+	}
+}
--- /dev/null
+++ b/src/gateway/main.ts
@@ -0,0 +1,104 @@
+#!/usr/bin/env node
+import process from 'node:process';
+import {Writable} from 'node:stream';
+import {Command} from 'commander';
+import {platformProtocol, readSettings, settingsVariable, StoreClient} from '../../platform/index.js';
+import {SystemClock, type Milliseconds} from '../shared/clock.js';
+import {createLogger} from '../shared/log.js';
+import {GatewayProcess} from './gateway-process.js';
+import {DecisionLog} from './observability/decision-log.js';
+import {LogOutput} from './observability/log-output.js';
+import type {InstanceSettings} from './settings.js';
+import {SuspensionClock} from './site/suspension-clock.js';
+
+/** Exit codes of the program. */
+const exitCodes = {
+	stopped: 0,
+	failed: 1,
+	wrongSettings: 2,
+} as const;
+
+/** Time between two looks at the settings file, which may change without a signal. */
+const settingsIntervalMs: Milliseconds = 3000;
+
+const standardOutput = 1;
+
+function readSettingsOrExit(path: string): InstanceSettings {
+	try {
+		return readSettings(path);
+	} catch (error) {
+		process.stderr.write(`jackdawfork-gateway: settings ${path}: ${error instanceof Error ? error.message : String(error)}\n`);
+		process.exit(exitCodes.wrongSettings);
+	}
+}
+
+async function run(path: string): Promise<void> {
+	const settings = readSettingsOrExit(path);
+	const clock = SuspensionClock.create(SystemClock.create());
+	const output = LogOutput.create(standardOutput);
+	const logger = createLogger({
+		name: 'jackdawfork-gateway',
+		output: new Writable({
+			decodeStrings: false,
+			write(line: string, _encoding, callback) {
+				output.write(line);
+				callback();
+			},
+		}),
+		fields: {instance: settings.instanceName},
+	});
+	const log = DecisionLog.create(logger, clock);
+	const source = StoreClient.create(settings.store.address);
+	const gateway = GatewayProcess.create({
+		settings, clock, log, protocol: platformProtocol, source,
+	});
+	let lastSettings = JSON.stringify(settings);
+	const reload = () => {
+		try {
+			const changed = readSettings(path);
+			if (JSON.stringify(changed) !== lastSettings) {
+				lastSettings = JSON.stringify(changed);
+				gateway.reload(changed);
+			}
+		} catch (error) {
+			log.event('reload-failed', {reason: error instanceof Error ? error.message : String(error)});
+		}
+	};
+
+	const stop = async () => {
+		await gateway.stop();
+		await output.flush();
+		process.exit(exitCodes.stopped);
+	};
+
+	process.on('SIGHUP', reload);
+	setInterval(reload, settingsIntervalMs).unref();
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			void stop();
+		});
+	}
+
+	try {
+		await gateway.start();
+	} catch (error) {
+		log.event('start-failed', {reason: error instanceof Error ? error.message : String(error)});
+		await output.flush();
+		process.exit(exitCodes.failed);
+	}
+}
+
+const program = new Command('jackdawfork-gateway')
+	.description('Accepts callers of the platform and schedules their requests onto endpoints')
+	.option('--settings <file>', `settings of this process, JSON (default: the file that ${settingsVariable} names)`)
+	.action(async ({settings}: {settings?: string}) => {
+		const path = settings ?? process.env[settingsVariable];
+		if (path === undefined) {
+			process.stderr.write(`jackdawfork-gateway: neither --settings nor ${settingsVariable} names a settings file\n`);
+			process.exit(exitCodes.wrongSettings);
+		}
+
+		await run(path);
+	});
+
+await program.parseAsync();
--- /dev/null
+++ b/src/gateway/membership/beat-task.ts
@@ -0,0 +1,125 @@
+import {createSocket, type Socket} from 'node:dgram';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import {DisposableStore} from '../../shared/disposable-store.js';
+import type {DecisionLog} from '../observability/decision-log.js';
+import {decodeBeat, encodeBeat} from './beat-codec.js';
+import type {Beat} from './types.js';
+
+/** Shortest time between two beats. Others see a request at an endpoint this much later, so several instances may fill the same place meanwhile. */
+const shortestIntervalMs = 100;
+
+/** Time that each further instance adds, which bounds the datagrams that one instance receives to 125 a second. */
+const intervalForEachPeerMs = 8;
+
+/** Hosts that one beat names, which keeps it within one packet. */
+const maximumKnownHosts = 8;
+
+export type BeatContent = Pick<Beat, 'runs' | 'usage'>;
+
+export type BeatTaskOptions = {
+	readonly host: string;
+	readonly availabilityZone: string;
+	readonly port: number;
+	readonly incarnation: number;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly content: () => BeatContent;
+	/** Hosts that get beats. */
+	readonly targets: () => ReadonlySet<string>;
+	readonly presentHosts: () => readonly string[];
+	readonly onBeat: (beat: Beat) => void;
+	readonly onTick: () => void;
+};
+
+/** Tells the other instances what this one does, and hears the same of them, by datagrams. */
+export class BeatTask {
+	static create(options: BeatTaskOptions): BeatTask {
+		return new BeatTask(options);
+	}
+
+	readonly #disposables = DisposableStore.create();
+	readonly #socket: Socket = createSocket('udp4');
+	#sequence = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#nextHost = 0;
+
+	private constructor(private readonly options: BeatTaskOptions) {}
+
+	/** @throws {Error} when the port can't be bound */
+	async start(): Promise<void> {
+		const {host, port, log, onBeat} = this.options;
+		this.#socket.on('message', datagram => {
+			try {
+				onBeat(decodeBeat(datagram));
+			} catch (error) {
+				log.event('beat-rejected', {reason: String(error)});
+			}
+		});
+		await new Promise<void>((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind(port, host, () => {
+				this.#socket.off('error', reject);
+				resolve();
+			});
+		});
+		this.#socket.on('error', error => {
+			log.event('beat-socket-failed', {reason: error.message});
+		});
+		this.#disposables.defer(() => {
+			this.#socket.close();
+		});
+		this.#disposables.defer(() => {
+			clearTimeout(this.#timer);
+		});
+		this.#tick();
+	}
+
+	/** Tells the others that this process ends. */
+	sendLeaving(): void {
+		this.#send(true);
+	}
+
+	async dispose(): Promise<void> {
+		await this.#disposables.dispose();
+	}
+
+	#tick(): void {
+		this.options.onTick();
+		this.#send(false);
+		const interval: Milliseconds = Math.max(shortestIntervalMs, this.options.targets().size * intervalForEachPeerMs);
+		this.#timer = setTimeout(() => {
+			this.#tick();
+		}, interval);
+	}
+
+	#send(isLeaving: boolean): void {
+		const {host, availabilityZone, port, incarnation, content, targets, log} = this.options;
+		this.#sequence++;
+		const datagram = encodeBeat({
+			host, availabilityZone, incarnation, sequence: this.#sequence, isLeaving, ...content(), knownHosts: this.#someKnownHosts(),
+		});
+		for (const target of targets()) {
+			this.#socket.send(datagram, port, target, error => {
+				if (error !== null) {
+					log.event('beat-not-sent', {host: target, reason: error.message});
+				}
+			});
+		}
+	}
+
+	/** Names other hosts by turns, so that all are named after some beats. */
+	#someKnownHosts(): string[] {
+		const hosts = this.options.presentHosts();
+		if (hosts.length <= maximumKnownHosts) {
+			return [...hosts];
+		}
+
+		const named: string[] = [];
+		for (let index = 0; index < maximumKnownHosts; index++) {
+			named.push(hosts[(this.#nextHost + index) % hosts.length]!);
+		}
+
+		this.#nextHost = (this.#nextHost + maximumKnownHosts) % hosts.length;
+		return named;
+	}
+}
--- /dev/null
+++ b/src/gateway/membership/peer-group.ts
@@ -0,0 +1,145 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import type {Beat, Peer} from './types.js';
+
+/** Silence after which a peer's requests no longer count at endpoints: a killed one has none, and one that is cut off is rarer. */
+const presentForMs = 1500;
+
+/** Silence after which a peer is forgotten. Until then it keeps its share of limits, because it may only be cut off. */
+const forgottenAfterMs = 30_000;
+
+/** How long a host that never answered is tried. */
+const candidateForMs = 30_000;
+
+export type PeerChange
+	= | {readonly kind: 'peer-joined'; readonly host: string; readonly incarnation: number}
+		| {readonly kind: 'peer-restarted'; readonly host: string; readonly incarnation: number}
+		| {readonly kind: 'peer-returned'; readonly host: string; readonly silentMs: Milliseconds}
+		| {readonly kind: 'peer-silent'; readonly host: string; readonly silentMs: Milliseconds}
+		| {readonly kind: 'peer-left'; readonly host: string}
+		| {readonly kind: 'peer-forgotten'; readonly host: string};
+
+/** The other instances, as far as their beats tell. */
+export class PeerGroup {
+	static create(ownHost: string): PeerGroup {
+		return new PeerGroup(ownHost);
+	}
+
+	readonly #peers = new Map<string, Peer>();
+	readonly #silent = new Set<string>();
+	/** Hosts that were named but not heard, with the time until which they are tried. */
+	readonly #candidates = new Map<string, Milliseconds>();
+	#seeds: readonly string[] = [];
+
+	private constructor(private readonly ownHost: string) {}
+
+	/** Peers that are not forgotten. */
+	get size(): number {
+		return this.#peers.size;
+	}
+
+	useSeeds(hosts: readonly string[]): void {
+		this.#seeds = hosts.filter(host => host !== this.ownHost);
+	}
+
+	/** Takes over a beat; one that was overtaken by a later one is ignored. */
+	receive(beat: Beat, now: Milliseconds): PeerChange[] {
+		if (beat.host === this.ownHost) {
+			return [];
+		}
+
+		const known = this.#peers.get(beat.host);
+		if (known?.incarnation === beat.incarnation && beat.sequence <= known.sequence) {
+			return [];
+		}
+
+		if (beat.isLeaving) {
+			return this.#remove(beat.host) ? [{kind: 'peer-left', host: beat.host}] : [];
+		}
+
+		this.#candidates.delete(beat.host);
+		this.#peers.set(beat.host, {
+			host: beat.host,
+			availabilityZone: beat.availabilityZone,
+			incarnation: beat.incarnation,
+			sequence: beat.sequence,
+			heardAt: now,
+			runs: new Map(beat.runs),
+		});
+		for (const host of beat.knownHosts) {
+			this.#propose(host, now);
+		}
+
+		const wasSilent = this.#silent.delete(beat.host);
+		if (known === undefined) {
+			return [{kind: 'peer-joined', host: beat.host, incarnation: beat.incarnation}];
+		}
+
+		if (known.incarnation !== beat.incarnation) {
+			return [{kind: 'peer-restarted', host: beat.host, incarnation: beat.incarnation}];
+		}
+
+		return wasSilent ? [{kind: 'peer-returned', host: beat.host, silentMs: now - known.heardAt}] : [];
+	}
+
+	/** Notes who has fallen silent. */
+	expire(now: Milliseconds): PeerChange[] {
+		const changes: PeerChange[] = [];
+		for (const peer of this.#peers.values()) {
+			const silentMs = now - peer.heardAt;
+			if (silentMs > forgottenAfterMs) {
+				this.#remove(peer.host);
+				this.#candidates.set(peer.host, now + candidateForMs);
+				changes.push({kind: 'peer-forgotten', host: peer.host});
+			} else if (silentMs > presentForMs && !this.#silent.has(peer.host)) {
+				this.#silent.add(peer.host);
+				changes.push({kind: 'peer-silent', host: peer.host, silentMs});
+			}
+		}
+
+		for (const [host, until] of this.#candidates) {
+			if (now > until) {
+				this.#candidates.delete(host);
+			}
+		}
+
+		return changes;
+	}
+
+	/** Hosts that get beats. */
+	hosts(): Set<string> {
+		return new Set([...this.#peers.keys(), ...this.#candidates.keys(), ...this.#seeds]);
+	}
+
+	/** Hosts that are not forgotten, sorted, this one among them. */
+	members(): string[] {
+		return [...this.#peers.keys(), this.ownHost].toSorted();
+	}
+
+	/** Requests that the present peers have under way at an endpoint. */
+	runsAt(endpointId: string): number {
+		let running = 0;
+		for (const peer of this.#peers.values()) {
+			if (!this.#silent.has(peer.host)) {
+				running += peer.runs.get(endpointId) ?? 0;
+			}
+		}
+
+		return running;
+	}
+
+	/** Hosts of peers that are heard at present. */
+	presentHosts(): string[] {
+		return [...this.#peers.keys()].filter(host => !this.#silent.has(host));
+	}
+
+	#propose(host: string, now: Milliseconds): void {
+		if (host !== this.ownHost && !this.#peers.has(host) && !this.#candidates.has(host)) {
+			this.#candidates.set(host, now + candidateForMs);
+		}
+	}
+
+	#remove(host: string): boolean {
+		this.#silent.delete(host);
+		return this.#peers.delete(host);
+	}
+}
--- /dev/null
+++ b/src/gateway/membership/types.ts
@@ -0,0 +1,33 @@
+import type {Milliseconds} from '../../shared/clock.js';
+
+/** Requests that one instance has under way at an endpoint. */
+export type EndpointRuns = readonly [endpointId: string, running: number];
+
+/** Units that one instance has used of a workspace's quota since its start. */
+export type WorkspaceUsage = readonly [workspace: string, units: number];
+
+/** What an instance tells the others again and again. Each beat is complete, so a lost one costs nothing but age. */
+export type Beat = {
+	readonly host: string;
+	readonly availabilityZone: string;
+	/** Random number of one run of the process. */
+	readonly incarnation: number;
+	/** Grows with each beat of an incarnation. */
+	readonly sequence: number;
+	/** Whether the process is about to end. */
+	readonly isLeaving: boolean;
+	readonly runs: readonly EndpointRuns[];
+	readonly usage: readonly WorkspaceUsage[];
+	/** Hosts of some instances that the sender hears. */
+	readonly knownHosts: readonly string[];
+};
+
+/** Another instance, as far as it is known. */
+export type Peer = {
+	readonly host: string;
+	readonly availabilityZone: string;
+	readonly incarnation: number;
+	readonly sequence: number;
+	readonly heardAt: Milliseconds;
+	readonly runs: ReadonlyMap<string, number>;
+};
--- /dev/null
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -0,0 +1,91 @@
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {Milliseconds} from '../../shared/clock.js';
+
+/** Bounds of the latency histograms, in seconds; the targets of the known routes lie between 0.1 and 0.5. */
+const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 15];
+
+/** Bounds of the histogram of the store's answers, in seconds. */
+const storeBuckets = [0.002, 0.005, 0.01, 0.05, 0.1, 0.4, 1, 2];
+
+export type GaugeValues = {
+	readonly waiting: Readonly<Record<string, number>>;
+	readonly running: number;
+	readonly openRequests: number;
+	readonly presentPeers: number;
+	readonly confirmedAgeMs: Milliseconds;
+	readonly endpointConnections: number;
+};
+
+/** Counters, gauges and histograms of one gateway process. */
+export class GatewayMetrics {
+	static create(): GatewayMetrics {
+		return new GatewayMetrics();
+	}
+
+	readonly #registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'jackdawfork_requests_total', help: 'Requests of callers by how they ended', labelNames: ['kind', 'outcome'], registers: [this.#registry],
+	});
+
+	readonly #latency = new Histogram({
+		name: 'jackdawfork_first_response_seconds', help: 'Time from the arrival of a request to its response or first event', labelNames: ['kind', 'tier'], buckets: latencyBuckets, registers: [this.#registry],
+	});
+
+	readonly #dispatches = new Counter({
+		name: 'jackdawfork_endpoint_attempts_total', help: 'Attempts at endpoints by how they ended', labelNames: ['outcome'], registers: [this.#registry],
+	});
+
+	readonly #storeReads = new Histogram({
+		name: 'jackdawfork_store_read_seconds', help: 'Time of a complete reading of the store', labelNames: ['outcome'], buckets: storeBuckets, registers: [this.#registry],
+	});
+
+	readonly #connections = new Counter({
+		name: 'jackdawfork_endpoint_connects_total', help: 'Connections opened to endpoints', registers: [this.#registry],
+	});
+
+	readonly #waiting = new Gauge({
+		name: 'jackdawfork_waiting_requests', help: 'Requests that wait for an endpoint', labelNames: ['service'], registers: [this.#registry],
+	});
+
+	readonly #gauges = {
+		running: new Gauge({name: 'jackdawfork_running_requests', help: 'Requests under way at endpoints', registers: [this.#registry]}),
+		openRequests: new Gauge({name: 'jackdawfork_open_requests', help: 'Requests that are being read or answered', registers: [this.#registry]}),
+		presentPeers: new Gauge({name: 'jackdawfork_present_peers', help: 'Other instances that are heard', registers: [this.#registry]}),
+		confirmedAgeMs: new Gauge({name: 'jackdawfork_configuration_confirmed_age_milliseconds', help: 'Age of the reading that confirmed the configuration', registers: [this.#registry]}),
+		endpointConnections: new Gauge({name: 'jackdawfork_endpoint_connections', help: 'Open connections to endpoints', registers: [this.#registry]}),
+	} as const;
+
+	private constructor() {}
+
+	requestEnded(kind: string, outcome: string): void {
+		this.#requests.inc({kind, outcome});
+	}
+
+	firstResponse(kind: string, tier: number, durationMs: Milliseconds): void {
+		this.#latency.observe({kind, tier}, durationMs / 1000);
+	}
+
+	attemptEnded(outcome: string): void {
+		this.#dispatches.inc({outcome});
+	}
+
+	storeRead(outcome: string, durationMs: Milliseconds): void {
+		this.#storeReads.observe({outcome}, durationMs / 1000);
+	}
+
+	connected(): void {
+		this.#connections.inc();
+	}
+
+	async render(values: GaugeValues): Promise<string> {
+		for (const [service, waiting] of Object.entries(values.waiting)) {
+			this.#waiting.set({service}, waiting);
+		}
+
+		for (const [name, gauge] of Object.entries(this.#gauges)) {
+			gauge.set(values[name as Exclude<keyof GaugeValues, 'waiting'>]);
+		}
+
+		return this.#registry.metrics();
+	}
+}
--- /dev/null
+++ b/src/gateway/observability/log-output.ts
@@ -0,0 +1,92 @@
+import {Buffer} from 'node:buffer';
+import {write} from 'node:fs';
+
+/** Most text that waits to be written, in characters. More is dropped and counted. */
+const maximumPendingCharacters = 262_144;
+
+/** Time to wait when the reader of the output is behind, or to collect lines into one write. */
+const writeDelayMs = 40;
+
+/**
+Writes lines to a file descriptor without ever blocking the process.
+
+`process.stdout` blocks while a pipe is full. Lines that don't fit the bounded buffer are dropped, and a line says how many.
+*/
+export class LogOutput {
+	static create(descriptor: number): LogOutput {
+		return new LogOutput(descriptor);
+	}
+
+	#pending: string[] = [];
+	#pendingCharacters = 0;
+	#dropped = 0;
+	#isWriting = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly descriptor: number) {}
+
+	write(line: string): boolean {
+		if (this.#pendingCharacters + line.length > maximumPendingCharacters) {
+			this.#dropped++;
+			return false;
+		}
+
+		this.#pending.push(line);
+		this.#pendingCharacters += line.length;
+		this.#schedule();
+		return true;
+	}
+
+	/** Resolves when everything has been handed to the operating system, or after a failed write. */
+	async flush(): Promise<void> {
+		clearTimeout(this.#timer);
+		this.#timer = undefined;
+		await this.#writePending();
+	}
+
+	#schedule(): void {
+		if (!this.#isWriting && this.#timer === undefined) {
+			this.#timer = setTimeout(() => {
+				this.#timer = undefined;
+				void this.#writePending();
+			}, writeDelayMs);
+		}
+	}
+
+	async #writePending(): Promise<void> {
+		if (this.#isWriting || this.#pending.length === 0) {
+			return;
+		}
+
+		if (this.#dropped > 0) {
+			this.#pending.push(`level=warn event=log-lines-dropped count=${this.#dropped}\n`);
+			this.#dropped = 0;
+		}
+
+		this.#isWriting = true;
+		const chunk = Buffer.from(this.#pending.join(''));
+		this.#pending = [];
+		this.#pendingCharacters = 0;
+		const written = await this.#writeChunk(chunk);
+		this.#isWriting = false;
+		if (written < chunk.byteLength) {
+			// The reader is behind: the rest goes first at the next try.
+			const rest = chunk.subarray(written).toString();
+			this.#pending.unshift(rest);
+			this.#pendingCharacters += rest.length;
+		}
+
+		if (this.#pending.length > 0) {
+			this.#schedule();
+		}
+	}
+
+	async #writeChunk(chunk: Buffer): Promise<number> {
+		return new Promise(resolve => {
+			write(this.descriptor, chunk, (error, written) => {
+				// A full pipe says EAGAIN; any other error leaves nobody to tell.
+				resolve(error === null ? written : (error.code === 'EAGAIN' ? 0 : chunk.byteLength)); // eslint-disable-line no-nested-ternary, unicorn/no-nested-ternary
+			});
+		});
+	}
+}
--- /dev/null
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -0,0 +1,182 @@
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {ColdLimits} from '../limits/cold-limits.js';
+import type {EndpointRecord, Service} from '../site/types.js';
+import {EndpointLoad, type RunOutcome} from './endpoint-load.js';
+import {choosePlace, type Candidate} from './placement.js';
+import {refusalReasons, type WaitingRequest} from './types.js';
+import {WaitingLine} from './waiting-line.js';
+
+/** Requests that an endpoint gets for each of its slots before the others wait here. */
+const loadForEachSlot = 1;
+
+/** Least time that a request needs at an endpoint to be worth a start, in milliseconds. */
+const startMs: Milliseconds = 60;
+
+/** Time after which a refused caller may come back when no better estimate exists. */
+const retryAfterMs: Milliseconds = 1000;
+
+export type ServiceSchedulerOptions = {
+	readonly service: Service;
+	readonly clock: Clock;
+	readonly coldLimits: ColdLimits;
+	readonly availabilityZone: string;
+	/** Requests of the other instances under way at an endpoint. */
+	readonly peerRunsAt: (endpointId: string) => number;
+	/** Hosts of all instances, this one among them. */
+	readonly members: () => readonly string[];
+	/** Whether this process has looked for the others long enough to know its part of a cold endpoint's rate. */
+	readonly knowsMembers: () => boolean;
+};
+
+/** Gives the requests of one service to its endpoints: who is next, and where. */
+export class ServiceScheduler {
+	static create(options: ServiceSchedulerOptions): ServiceScheduler {
+		return new ServiceScheduler(options);
+	}
+
+	readonly #line = WaitingLine.create();
+	readonly #loads = new Map<string, EndpointLoad>();
+	/** Endpoints that left while requests of this instance were under way there. */
+	readonly #leaving = new Map<string, EndpointLoad>();
+	#evacuatedZones: ReadonlySet<string> = new Set();
+	#service: Service;
+
+	private constructor(private readonly options: ServiceSchedulerOptions) {
+		this.#service = options.service;
+	}
+
+	get waiting(): number {
+		return this.#line.size;
+	}
+
+	get loads(): ReadonlyMap<string, EndpointLoad> {
+		return this.#loads;
+	}
+
+	useService(service: Service): void {
+		this.#service = service;
+	}
+
+	/** Takes over the endpoints of the service and the zones that may get no new request. */
+	useEndpoints(records: Iterable<EndpointRecord>, evacuatedZones: ReadonlySet<string>): void {
+		const now = this.options.clock.now();
+		this.#evacuatedZones = evacuatedZones;
+		const ids = new Set<string>();
+		for (const record of records) {
+			ids.add(record.id);
+			const load = this.#loads.get(record.id);
+			if (load === undefined) {
+				this.#loads.set(record.id, EndpointLoad.create(record, now));
+			} else {
+				load.update(record, now);
+			}
+		}
+
+		for (const [id, load] of this.#loads) {
+			if (!ids.has(id)) {
+				this.#loads.delete(id);
+				this.options.coldLimits.forget(id);
+				if (load.running > 0) {
+					this.#leaving.set(id, load);
+				}
+			}
+		}
+
+		this.pump();
+	}
+
+	submit(request: WaitingRequest): void {
+		this.#line.add(request);
+		this.pump();
+	}
+
+	/** Takes a request back whose caller has left or whose time has ended. */
+	withdraw(request: WaitingRequest): boolean {
+		return this.#line.remove(request);
+	}
+
+	/** Records that a request at an endpoint has ended. */
+	ended(endpointId: string, outcome: RunOutcome, eventMs?: Milliseconds): void {
+		const now = this.options.clock.now();
+		const load = this.#loads.get(endpointId) ?? this.#leaving.get(endpointId);
+		load?.ended(outcome, now, eventMs);
+		if (load?.running === 0) {
+			this.#leaving.delete(endpointId);
+		}
+
+		this.pump();
+	}
+
+	/** Takes an endpoint to be cold because it may have been restarted. */
+	suspectCold(endpointId: string): void {
+		if (this.#service.coldRequestsPerSecond > 0) {
+			this.#loads.get(endpointId)?.suspectCold(this.options.clock.now() + this.#service.coldStartMs);
+		}
+	}
+
+	/** Gives out all places that are free. */
+	pump(): void {
+		if (this.#line.size === 0) {
+			return;
+		}
+
+		const now = this.options.clock.now();
+		for (const request of this.#line.inOrder(now, startMs)) {
+			if (now + startMs > request.giveUpAt) {
+				this.#line.remove(request);
+				request.refuse(refusalReasons.waitedTooLong, retryAfterMs);
+				continue;
+			}
+
+			const place = choosePlace(this.#candidates(request, now));
+			if (place === undefined) {
+				if (request.excluded.size === 0) {
+					return;
+				}
+
+				continue;
+			}
+
+			this.#line.remove(request);
+			this.#loads.get(place.endpointId)!.began();
+			this.options.coldLimits.note(place.endpointId, now);
+			request.start(place.endpointId);
+		}
+	}
+
+	* #candidates(request: WaitingRequest, now: Milliseconds): Generator<Candidate> {
+		for (const load of this.#loads.values()) {
+			const {record} = load;
+			if (request.excluded.has(record.id) || !this.#mayUse(load, now)) {
+				continue;
+			}
+
+			const running = load.running + this.options.peerRunsAt(record.id);
+			if (running < record.slots * loadForEachSlot) {
+				yield {
+					endpointId: record.id,
+					slots: record.slots,
+					running,
+					isFailing: load.isFailing,
+					eventMs: load.eventMs,
+					isSameZone: record.availabilityZone === this.options.availabilityZone,
+				};
+			}
+		}
+	}
+
+	#mayUse(load: EndpointLoad, now: Milliseconds): boolean {
+		const {record} = load;
+		if (record.isLeaving || this.#evacuatedZones.has(record.availabilityZone) || load.isPaused(now)) {
+			return false;
+		}
+
+		const {coldRequestsPerSecond} = this.#service;
+		if (coldRequestsPerSecond === 0 || !load.isCold(now)) {
+			return true;
+		}
+
+		const {coldLimits, members, knowsMembers} = this.options;
+		return knowsMembers() && coldLimits.hasRoom(record.id, coldLimits.part(record.id, coldRequestsPerSecond, members()), now);
+	}
+}
--- /dev/null
+++ b/src/gateway/scheduling/types.ts
@@ -0,0 +1,33 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import type {PromptPart} from '../callers/types.js';
+
+/** Why a request was not given to an endpoint. It has not run. */
+export const refusalReasons = {
+	/** The service has no endpoint that may get requests. */
+	noEndpoint: 'no-endpoint',
+	/** Those who wait already need all the time that this request has. */
+	overloaded: 'overloaded',
+	/** Its time ended while it waited. */
+	waitedTooLong: 'waited-too-long',
+} as const;
+
+export type RefusalReason = (typeof refusalReasons)[keyof typeof refusalReasons];
+
+/** A request that waits for an endpoint. */
+export type WaitingRequest = {
+	readonly requestId: string;
+	/** 0 is served first. */
+	readonly tier: number;
+	readonly arrivedAt: Milliseconds;
+	/** Until then the first event, or the response, earns full credit. */
+	readonly targetAt: Milliseconds;
+	/** After that nobody waits for the response. */
+	readonly giveUpAt: Milliseconds;
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+	readonly promptParts: readonly PromptPart[];
+	/** Endpoints that are not to be tried (again). */
+	readonly excluded: ReadonlySet<string>;
+	readonly start: (endpointId: string) => void;
+	readonly refuse: (reason: RefusalReason, retryAfterMs: Milliseconds) => void;
+};
--- /dev/null
+++ b/src/gateway/site/route-table.ts
@@ -0,0 +1,89 @@
+import {
+	type Route, type Service, type SiteConfiguration, type Workspace,
+} from './types.js';
+
+/** Finds routes, services and workspaces of one configuration. */
+export class RouteTable {
+	static create(configuration: SiteConfiguration): RouteTable {
+		return new RouteTable(configuration);
+	}
+
+	readonly version: number;
+	/** Routes of each host, longest prefix first. */
+	readonly #routes = new Map<string, Route[]>();
+	readonly #services: ReadonlyMap<string, Service>;
+	readonly #workspaces: ReadonlyMap<string, Workspace>;
+	readonly #workspacesByKey = new Map<string, Workspace>();
+
+	private constructor(readonly configuration: SiteConfiguration) {
+		this.version = configuration.version;
+		for (const route of configuration.routes) {
+			const routes = this.#routes.get(route.host) ?? [];
+			routes.push(route);
+			this.#routes.set(route.host, routes);
+		}
+
+		for (const routes of this.#routes.values()) {
+			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+		}
+
+		this.#services = new Map(configuration.services.map(service => [service.name, service]));
+		this.#workspaces = new Map(configuration.workspaces.map(workspace => [workspace.name, workspace]));
+		for (const workspace of configuration.workspaces) {
+			for (const key of workspace.keys) {
+				this.#workspacesByKey.set(key, workspace);
+			}
+		}
+	}
+
+	get hasWorkspaces(): boolean {
+		return this.#workspaces.size > 0;
+	}
+
+	/** @param path may carry a query */
+	findRoute(host: string, path: string): Route | undefined {
+		return this.#routes.get(host)?.find(route => path.startsWith(route.pathPrefix));
+	}
+
+	service(name: string): Service | undefined {
+		return this.#services.get(name);
+	}
+
+	services(): Iterable<Service> {
+		return this.#services.values();
+	}
+
+	workspace(name: string): Workspace | undefined {
+		return this.#workspaces.get(name);
+	}
+
+	workspaces(): Iterable<Workspace> {
+		return this.#workspaces.values();
+	}
+
+	workspaceOfKey(key: string): Workspace | undefined {
+		return this.#workspacesByKey.get(key);
+	}
+}
+
+/**
+Chooses the service of a request by the route's weights.
+
+@param draw from 0 to below 1
+*/
+export function chooseTarget(route: Route, draw: number): string | undefined {
+	let total = 0;
+	for (const target of route.targets) {
+		total += target.weight;
+	}
+
+	let rest = draw * total;
+	for (const target of route.targets) {
+		rest -= target.weight;
+		if (rest < 0) {
+			return target.service;
+		}
+	}
+
+	return route.targets.at(-1)?.service;
+}
--- /dev/null
+++ b/src/gateway/site/site-reader-task.ts
@@ -0,0 +1,110 @@
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import {DisposableStore} from '../../shared/disposable-store.js';
+import type {DecisionLog} from '../observability/decision-log.js';
+import type {SiteChange, SiteState} from './site-state.js';
+import type {SiteSnapshot} from './types.js';
+
+/** Time between readings. An endpoint that leaves and a new configuration must be in force 2,000 ms after their acknowledgement, so two readings fit into that bound. */
+const readIntervalMs = 850;
+
+/** Time between readings before the first one has succeeded, and after one that failed. */
+const retryIntervalMs = 250;
+
+/** Time until a reading counts as lost. A slow store may take 90 times its usual 4 ms a page. */
+const readTimeoutMs = 1500;
+
+/** Most readings at once: one that is lost must not delay the next. */
+const maximumPendingReads = 3;
+
+export type SiteSource = {
+	/** @throws {Error} when the reading fails */
+	read(timeoutMs: Milliseconds): Promise<SiteSnapshot>;
+};
+
+export type SiteReaderOptions = {
+	readonly source: SiteSource;
+	readonly state: SiteState;
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly onChanges: (changes: readonly SiteChange[]) => void;
+	readonly onRead: (outcome: 'read' | 'failed', durationMs: Milliseconds) => void;
+};
+
+/** Reads the platform's store again and again and keeps the site's state up to date. */
+export class SiteReaderTask {
+	static create(options: SiteReaderOptions): SiteReaderTask {
+		return new SiteReaderTask(options);
+	}
+
+	readonly #disposables = DisposableStore.create();
+	#pending = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#isStoreReachable: boolean | undefined;
+	#lastSuccessAt: Milliseconds | undefined;
+
+	private constructor(private readonly options: SiteReaderOptions) {}
+
+	start(): void {
+		this.#disposables.defer(() => {
+			clearTimeout(this.#timer);
+		});
+		this.#tick();
+	}
+
+	async dispose(): Promise<void> {
+		await this.#disposables.dispose();
+	}
+
+	#tick(): void {
+		if (this.#pending < maximumPendingReads) {
+			void this.#read();
+		}
+
+		this.#schedule(this.#isStoreReachable === true ? readIntervalMs : retryIntervalMs);
+	}
+
+	#schedule(delayMs: Milliseconds): void {
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			this.#tick();
+		}, delayMs);
+	}
+
+	async #read(): Promise<void> {
+		const {source, state, clock, onChanges, onRead} = this.options;
+		const sentAt = clock.now();
+		this.#pending++;
+		try {
+			const snapshot = await source.read(readTimeoutMs);
+			const now = clock.now();
+			const changes = state.apply(snapshot, sentAt, now);
+			this.#lastSuccessAt = now;
+			onRead('read', now - sentAt);
+			this.#noteReachable(now - sentAt);
+			if (changes.length > 0) {
+				onChanges(changes);
+			}
+		} catch (error) {
+			onRead('failed', clock.now() - sentAt);
+			this.#noteFailure(error);
+		} finally {
+			this.#pending--;
+		}
+	}
+
+	#noteReachable(durationMs: Milliseconds): void {
+		if (this.#isStoreReachable !== true) {
+			this.options.log.event('dependency-regained', {dependency: 'store', durationMs: Math.round(durationMs)});
+			this.#isStoreReachable = true;
+		}
+	}
+
+	#noteFailure(error: unknown): void {
+		if (this.#isStoreReachable !== false) {
+			const lastSuccessMs = this.#lastSuccessAt === undefined ? undefined : Math.round(this.options.clock.now() - this.#lastSuccessAt);
+			this.options.log.event('dependency-lost', {dependency: 'store', reason: error instanceof Error ? error.message : String(error), lastSuccessMs});
+			this.#isStoreReachable = false;
+			this.#schedule(retryIntervalMs);
+		}
+	}
+}
--- /dev/null
+++ b/src/gateway/site/site-state.ts
@@ -0,0 +1,160 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import {RouteTable} from './route-table.js';
+import type {EndpointRecord, RejectedRecord, SiteSnapshot} from './types.js';
+
+/** How long an endpoint may be missing after the store was away: its record may have expired meanwhile and is back within about 2,000 ms of the store's return. */
+const expiredRecordGraceMs = 2000;
+
+/** A time without a reading after which records may have expired for want of heartbeats: three heartbeats of 1,200 ms, less one reading. */
+const outageMs = 2500;
+
+/** What changed by a snapshot, for the log and for those who act on it. */
+export type SiteChange
+	= | {readonly kind: 'configuration'; readonly version: number; readonly previousVersion?: number}
+		| {readonly kind: 'configuration-ignored'; readonly version: number; readonly heldVersion: number}
+		| {readonly kind: 'endpoint-added'; readonly endpoint: EndpointRecord}
+		| {readonly kind: 'endpoint-restarted'; readonly endpoint: EndpointRecord}
+		| {readonly kind: 'endpoint-changed'; readonly endpoint: EndpointRecord}
+		| {readonly kind: 'endpoint-removed'; readonly endpoint: EndpointRecord}
+		| {readonly kind: 'endpoint-missing'; readonly endpoint: EndpointRecord}
+		| {readonly kind: 'zone-evacuated'; readonly availabilityZone: string}
+		| {readonly kind: 'zone-returned'; readonly availabilityZone: string}
+		| {readonly kind: 'record-rejected'; readonly record: RejectedRecord};
+
+function isSameRecord(a: EndpointRecord, b: EndpointRecord): boolean {
+	return a.service === b.service && a.address === b.address && a.availabilityZone === b.availabilityZone
+		&& a.slots === b.slots && a.isLeaving === b.isLeaving && a.coldRemainingMs === b.coldRemainingMs;
+}
+
+/** What this process believes about the site, and since when that is confirmed. */
+export class SiteState {
+	static create(): SiteState {
+		return new SiteState();
+	}
+
+	#routes: RouteTable | undefined;
+	#endpoints = new Map<string, EndpointRecord>();
+	#evacuatedZones: ReadonlySet<string> = new Set();
+	#rejected = new Map<string, string>();
+	#confirmedAt: Milliseconds | undefined;
+	/** Until when missing endpoints are kept. */
+	#graceUntil: Milliseconds = -Infinity;
+
+	private constructor() {}
+
+	get routes(): RouteTable | undefined {
+		return this.#routes;
+	}
+
+	get endpoints(): ReadonlyMap<string, EndpointRecord> {
+		return this.#endpoints;
+	}
+
+	get evacuatedZones(): ReadonlySet<string> {
+		return this.#evacuatedZones;
+	}
+
+	/** When the reading that confirmed all this was sent. Every change that was acknowledged before that moment is known. */
+	get confirmedAt(): Milliseconds | undefined {
+		return this.#confirmedAt;
+	}
+
+	/**
+	Takes over a snapshot. One that was sent before the last one is ignored, so nothing ever goes backward.
+
+	@param sentAt when the reading was sent
+	@param now when it was received
+	*/
+	apply(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds): SiteChange[] {
+		if (this.#confirmedAt !== undefined && sentAt <= this.#confirmedAt) {
+			return [];
+		}
+
+		if (this.#confirmedAt !== undefined && now - this.#confirmedAt > outageMs) {
+			this.#graceUntil = now + expiredRecordGraceMs;
+		}
+
+		const changes = [
+			...this.#applyConfiguration(snapshot),
+			...this.#applyEndpoints(snapshot, now),
+			...this.#applyEvacuations(snapshot),
+			...this.#applyRejected(snapshot),
+		];
+		// Without a configuration there is nothing that a reading could confirm.
+		if (this.#routes !== undefined) {
+			this.#confirmedAt = sentAt;
+		}
+
+		return changes;
+	}
+
+	#applyConfiguration({configuration}: SiteSnapshot): SiteChange[] {
+		if (configuration === undefined || configuration === this.#routes?.configuration) {
+			return [];
+		}
+
+		const previousVersion = this.#routes?.version;
+		if (previousVersion !== undefined && configuration.version <= previousVersion) {
+			return configuration.version === previousVersion ? [] : [{kind: 'configuration-ignored', version: configuration.version, heldVersion: previousVersion}];
+		}
+
+		this.#routes = RouteTable.create(configuration);
+		return [{kind: 'configuration', version: configuration.version, previousVersion}];
+	}
+
+	#applyEndpoints(snapshot: SiteSnapshot, now: Milliseconds): SiteChange[] {
+		const changes: SiteChange[] = [];
+		const endpoints = new Map<string, EndpointRecord>();
+		for (const endpoint of snapshot.endpoints) {
+			endpoints.set(endpoint.id, endpoint);
+			const known = this.#endpoints.get(endpoint.id);
+			if (known === undefined) {
+				changes.push({kind: 'endpoint-added', endpoint});
+			} else if (known.startedAt !== endpoint.startedAt) {
+				changes.push({kind: 'endpoint-restarted', endpoint});
+			} else if (!isSameRecord(known, endpoint)) {
+				changes.push({kind: 'endpoint-changed', endpoint});
+			}
+		}
+
+		for (const endpoint of this.#endpoints.values()) {
+			if (endpoints.has(endpoint.id)) {
+				continue;
+			}
+
+			if (now < this.#graceUntil) {
+				endpoints.set(endpoint.id, endpoint);
+				changes.push({kind: 'endpoint-missing', endpoint});
+			} else {
+				changes.push({kind: 'endpoint-removed', endpoint});
+			}
+		}
+
+		this.#endpoints = endpoints;
+		return changes;
+	}
+
+	#applyEvacuations({evacuatedZones}: SiteSnapshot): SiteChange[] {
+		const changes: SiteChange[] = [];
+		for (const availabilityZone of evacuatedZones) {
+			if (!this.#evacuatedZones.has(availabilityZone)) {
+				changes.push({kind: 'zone-evacuated', availabilityZone});
+			}
+		}
+
+		for (const availabilityZone of this.#evacuatedZones) {
+			if (!evacuatedZones.has(availabilityZone)) {
+				changes.push({kind: 'zone-returned', availabilityZone});
+			}
+		}
+
+		this.#evacuatedZones = evacuatedZones;
+		return changes;
+	}
+
+	#applyRejected({rejected}: SiteSnapshot): SiteChange[] {
+		const fresh = rejected.filter(record => this.#rejected.get(record.key) !== record.reason);
+		this.#rejected = new Map(rejected.map(record => [record.key, record.reason]));
+		return fresh.map(record => ({kind: 'record-rejected', record}));
+	}
+}
