Pass an answer without a length on without one

Change: an answer that ends with its connection does so at the caller, too.

Ruled out: reading a length from the signature, whose form is not published; treating every answer without a length as broken, because most are whole.

--- a/src/gateway/callers/http-response.ts
+++ b/src/gateway/callers/http-response.ts
@@ -13,8 +13,13 @@
 
 	private constructor(private readonly response: ServerResponse, private readonly mustClose: () => boolean) {}
 
-	writeHead(status: number, headers: Record<string, string | string[]>): void {
+	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void {
 		this.#closeIfAsked();
+		if (!isFramed) {
+			// Without this header node:http ends the answer by closing its connection.
+			this.response.removeHeader('transfer-encoding');
+		}
+
 		this.response.writeHead(status, headers);
 	}
 
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -27,7 +27,8 @@
 
 /** Where the answer goes. */
 export type CallerResponse = {
-	writeHead(status: number, headers: Record<string, string | string[]>): void;
+	/** @param isFramed false when the answer is to end with its connection, as the endpoint's did */
+	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void;
 	write(chunk: Uint8Array): void;
 	end(chunk?: Uint8Array): void;
 	/** Ends the connection so that the answer does not look complete. */
@@ -77,6 +78,7 @@
 	readonly sentAt: Milliseconds;
 	exchange?: Exchange;
 	head?: ResponseHead;
+	isFramed: boolean;
 	/** What the response turned out to be. */
 	kind: 'pending' | 'relay' | 'rejected' | 'failed' | 'foreign';
 	readonly kept: Uint8Array[];
@@ -203,6 +205,7 @@
 			endpointId,
 			sentAt: now,
 			kind: 'pending',
+			isFramed: true,
 			kept: [],
 			keptBytes: 0,
 			progressAt: now,
@@ -264,6 +267,7 @@
 		attempt.head = head;
 		attempt.progressAt = this.context.clock.now();
 		const facts = this.context.protocol.decodeResponseHeaders(head.status, head.headers);
+		attempt.isFramed = facts.isFramed;
 		if (facts.requestId !== undefined && facts.requestId !== this.requestId) {
 			attempt.kind = 'foreign';
 			this.context.log.event('foreign-answer', {requestId: this.requestId, endpoint: attempt.endpointId, answerTo: facts.requestId});
@@ -322,7 +326,7 @@
 	#sendHead(attempt: Attempt): void {
 		if (!this.#hasHeadSent) {
 			this.#hasHeadSent = true;
-			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers));
+			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers), attempt.isFramed);
 		}
 	}
 
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -22,6 +22,8 @@
 	/** Whether the endpoint states that it did not run the request. */
 	readonly isNotRun: boolean;
 	readonly hasContentEncoding: boolean;
+	/** Whether the response says where it ends. Otherwise it ends with its connection, and a part can't be told from the whole. */
+	readonly isFramed: boolean;
 };
 
 /** How callers and endpoints spell what the gateway needs of their messages. */
