--- a/src/gateway/callers/http-response.ts
+++ b/src/gateway/callers/http-response.ts
@@ -18,6 +18,7 @@
 		if (!isFramed) {
 			// Without this header node:http ends the answer by closing its connection.
 			this.response.removeHeader('transfer-encoding');
+			this.response.setHeader('connection', 'close');
 		}
 
 		this.response.writeHead(status, headers);
