Take over quota levels from a peer at the start and close idle connections while stopping

Change: beats carry what is left of each quota, and a new process takes it over from the first peer that it hears. Idle connections are closed when a stopping instance takes no more callers.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -92,6 +92,11 @@
 		this.#isStopping = true;
 	}
 
+	/** Closes connections that carry no request. */
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
+	}
+
 	/** Stops accepting and closes connections without a request. */
 	async close(): Promise<void> {
 		const closed = new Promise<void>(resolve => {
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -162,6 +162,10 @@
 		this.#stopAt = stopAt;
 		log.event('stopping', {openRequests: this.#callers.open, running: this.#tasks.size});
 		this.#callers.beginStop();
+		// A caller whose connection idles moves elsewhere by itself; a request on it later would have to be refused.
+		setTimeout(() => {
+			this.#callers.closeIdle();
+		}, acceptAfterStopMs).unref();
 		const endAt = stopAt + settings.bounds.stopMs - stopMarginMs;
 		await this.#wait(() => clock.now() >= endAt || (clock.now() - stopAt >= acceptAfterStopMs && this.#callers.open === 0));
 		this.#beats.sendLeaving();
--- a/src/gateway/limits/workspace-quotas.ts
+++ b/src/gateway/limits/workspace-quotas.ts
@@ -27,6 +27,9 @@
 /** Time after the start from which a process that hears no peer takes itself to be the only one. */
 const aloneForMs: Milliseconds = 15_000;
 
+/** Time after the start in which the levels of peers are taken over. A new process hears all of them within one or two beats. */
+const adoptForMs: Milliseconds = 3000;
+
 type PeerUse = {
 	incarnation: number;
 	heardAt: Milliseconds;
@@ -45,6 +48,8 @@
 	readonly burst: number;
 	level: number;
 	updatedAt: Milliseconds;
+	/** Whether the level came from a peer. */
+	isAdopted: boolean;
 };
 
 export type WorkspaceQuotasOptions = {
@@ -55,7 +60,7 @@
 /**
 Token buckets for the quotas of workspaces, which all instances use together.
 
-Every instance keeps the whole bucket of each workspace and takes from it what itself and, by their beats, the others use. Between beats it goes on taking at each peer's last rate. With a rate of r units a second and a burst of b, both with a part of the tolerated overage, at most w * r + b + e units run in a window of w seconds, where e is what the peers' rates grew by within the age of their beats. A bucket is empty when the process starts, because the use before is unknown.
+Every instance keeps the whole bucket of each workspace and takes from it what itself and, by their beats, the others use. Between beats it goes on taking at each peer's last rate. With a rate of r units a second and a burst of b, both with a part of the tolerated overage, at most w * r + b + e units run in a window of w seconds, where e is what the peers' rates grew by within the age of their beats. A bucket is empty when the process starts, because the use before is unknown, until a peer tells what is left.
 */
 export class WorkspaceQuotas {
 	static create(options: WorkspaceQuotasOptions): WorkspaceQuotas {
@@ -84,7 +89,7 @@
 
 			const limits = this.#limits(quota);
 			this.#buckets.set(name, {
-				quota, ...limits, level: Math.min(bucket?.level ?? 0, limits.burst), updatedAt: bucket?.updatedAt ?? this.startedAt,
+				quota, ...limits, level: Math.min(bucket?.level ?? 0, limits.burst), updatedAt: bucket?.updatedAt ?? this.startedAt, isAdopted: bucket?.isAdopted ?? false,
 			});
 		}
 
@@ -122,17 +127,17 @@
 		}
 	}
 
-	/** Units that this process has used since its start. */
+	/** Units that this process has used since its start, and what it believes is left. */
 	usage(): WorkspaceUsage[] {
-		return [...this.#ownUnits];
+		return [...this.#buckets].map(([workspace, {level}]) => [workspace, this.#ownUnits.get(workspace) ?? 0, level]);
 	}
 
 	/** Takes what a peer has used since its last beat. */
 	applyPeer(host: string, incarnation: number, usage: readonly WorkspaceUsage[], now: Milliseconds): void {
+		this.#adoptLevels(usage, now);
 		const known = this.#peers.get(host);
-		const units = new Map(usage);
+		const units = new Map(usage.map(([workspace, total]) => [workspace, total]));
 		if (known === undefined) {
-			// What a peer used before it was known went before this process's own start, or is part of the empty bucket at it.
 			this.#peers.set(host, {
 				incarnation, heardAt: now, units, perSecond: new Map(), estimated: new Map(), estimatedAt: now,
 			});
@@ -176,6 +181,18 @@
 		}
 	}
 
+	/** A process that has just started takes over what the first peer that it hears believes is left. */
+	#adoptLevels(usage: readonly WorkspaceUsage[], now: Milliseconds): void {
+		for (const [workspace, , level] of now - this.startedAt > adoptForMs ? [] : usage) {
+			const bucket = this.#buckets.get(workspace);
+			if (bucket?.isAdopted === false) {
+				this.#refill(bucket, now);
+				bucket.level = Math.min(Math.max(bucket.level, level), bucket.burst);
+				bucket.isAdopted = true;
+			}
+		}
+	}
+
 	#consume(workspace: string, units: number, now: Milliseconds): void {
 		const bucket = this.#buckets.get(workspace);
 		if (bucket !== undefined) {
--- a/src/gateway/membership/beat-codec.ts
+++ b/src/gateway/membership/beat-codec.ts
@@ -3,7 +3,7 @@
 import type {Beat} from './types.js';
 
 /** Format of the datagrams; instances ignore those of another format. */
-const formatVersion = 1;
+const formatVersion = 2;
 
 const count = z.number().nonnegative();
 const beatSchema = z.tuple([
@@ -14,7 +14,7 @@
 	count,
 	z.boolean(),
 	z.array(z.tuple([z.string(), count])),
-	z.array(z.tuple([z.string(), count])),
+	z.array(z.tuple([z.string(), count, z.number()])),
 	z.array(z.string()),
 ]);
 
--- a/src/gateway/membership/types.ts
+++ b/src/gateway/membership/types.ts
@@ -3,8 +3,8 @@
 /** Requests that one instance has under way at an endpoint. */
 export type EndpointRuns = readonly [endpointId: string, running: number];
 
-/** Units that one instance has used of a workspace's quota since its start. */
-export type WorkspaceUsage = readonly [workspace: string, units: number];
+/** Units that one instance has used of a workspace's quota since its start, and what it believes is left for all instances. */
+export type WorkspaceUsage = readonly [workspace: string, units: number, level: number];
 
 /** What an instance tells the others again and again. Each beat is complete, so a lost one costs nothing but age. */
 export type Beat = {
