Refuse early by expected wait and start the gateway from one bundle

After a loss of all instances, processes needed 1.0 to 1.3 s to start, most of it for loading modules.

Change: a request waits only while a start is of use to its caller. At its arrival, and when it becomes late, it is refused if those before it need more time than it has, by the rate of starts that its rank has seen; it may come back after a spread part of its remaining time.

Ruled out: waiting for the whole deadline; refusing at the aim, which gives up late answers that callers still use.

--- /dev/null
+++ b/deploy/bundle.js
@@ -0,0 +1,20 @@
+/** Bundles the gateway into one file, because loading many modules takes most of its start time. */
+import process from 'node:process';
+import {build} from 'esbuild';
+
+await build({
+	entryPoints: ['src/gateway/main.ts'],
+	outfile: process.argv[2] ?? 'target/jackdawfork-gateway.mjs',
+	bundle: true,
+	minify: true,
+	keepNames: true,
+	platform: 'node',
+	target: 'node20',
+	format: 'esm',
+	alias: {undici: './deploy/undici-client.js'},
+	// Optional native parts that the libraries do without.
+	external: ['dtrace-provider', 'mv', 'safe-json-stringify', 'source-map-support', 'msgpackr-extract'],
+	// Bundled CommonJS modules load Node's own modules through `require`.
+	banner: {js: 'import {createRequire as createBundleRequire} from \'node:module\'; const require = createBundleRequire(import.meta.url);'},
+	logLevel: 'warning',
+});
--- /dev/null
+++ b/deploy/undici-client.js
@@ -0,0 +1,13 @@
+/**
+The parts of undici that the gateway uses, for its bundle.
+
+The package's main module loads everything, such as fetch and WebSocket, which triples the start time.
+*/
+import * as api from '../node_modules/undici/lib/api/index.js';
+import Dispatcher from '../node_modules/undici/lib/dispatcher/dispatcher.js';
+
+// The package's main module adds these methods to every dispatcher.
+Dispatcher.prototype.request = api.request;
+
+export {default as Client} from '../node_modules/undici/lib/dispatcher/client.js';
+export {default as Pool} from '../node_modules/undici/lib/dispatcher/pool.js';
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -7,6 +7,7 @@
 import type {Protocol} from '../protocol.js';
 import {runOutcomes, type RunOutcome} from '../scheduling/endpoint-load.js';
 import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
+import {longestWait} from '../scheduling/patience.js';
 import {refusalReasons, type RefusalReason, type WaitingRequest} from '../scheduling/types.js';
 import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
 import type {EndpointConnection} from './endpoint-connections.js';
@@ -118,6 +119,7 @@
 			tier,
 			arrivedAt,
 			targetAt: arrivedAt + route.targetLatencyMs,
+			startBy: arrivedAt + longestWait(route, this.#giveUpAt - arrivedAt),
 			giveUpAt: this.#giveUpAt,
 			promptTokens: facts.tokens?.prompt ?? 0,
 			outputTokens: facts.tokens?.output ?? 0,
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -340,6 +340,7 @@
 				peerRunsAt: id => this.#peers.runsAt(id),
 				members: () => this.#peers.members(),
 				knowsMembers: () => clock.now() - this.#startedAt > membersKnownAfterMs,
+				draw: Math.random,
 			});
 			this.#schedulers.set(name, scheduler);
 			scheduler.useEndpoints([...this.#site.endpoints.values()].filter(endpoint => endpoint.service === name), this.#site.evacuatedZones);
--- a/src/gateway/membership/beat-codec.ts
+++ b/src/gateway/membership/beat-codec.ts
@@ -1,5 +1,5 @@
 import {pack, unpack} from 'msgpackr';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Beat} from './types.js';
 
 /** Format of the datagrams; instances ignore those of another format. */
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -3,6 +3,7 @@
 import type {EndpointRecord, Service} from '../site/types.js';
 import {EndpointLoad, type RunOutcome} from './endpoint-load.js';
 import {choosePlace, type Candidate} from './placement.js';
+import {lateRank, StartRate} from './start-rate.js';
 import {refusalReasons, type WaitingRequest} from './types.js';
 import {WaitingLine} from './waiting-line.js';
 
@@ -12,8 +13,13 @@
 /** Least time that a request needs at an endpoint to be worth a start, in milliseconds. */
 const startMs: Milliseconds = 60;
 
-/** Time after which a refused caller may come back when no better estimate exists. */
-const retryAfterMs: Milliseconds = 1000;
+/** Time after which a caller may come back whose request all endpoints have rejected. */
+const rejectedRetryAfterMs: Milliseconds = 1000;
+
+/**
+Part of a refused caller's remaining time after which it may come back, least and most. Bursts last for seconds, callers heed at most a third, and the spread keeps them from coming back together.
+*/
+const retryAfterPart = {least: 0.2, most: 0.33} as const;
 
 export type ServiceSchedulerOptions = {
 	readonly service: Service;
@@ -26,6 +32,8 @@
 	readonly members: () => readonly string[];
 	/** Whether this process has looked for the others long enough to know its part of a cold endpoint's rate. */
 	readonly knowsMembers: () => boolean;
+	/** Draws from 0 to below 1. */
+	readonly draw: () => number;
 };
 
 /** Gives the requests of one service to its endpoints: who is next, and where. */
@@ -35,6 +43,7 @@
 	}
 
 	readonly #line = WaitingLine.create();
+	readonly #startRate = StartRate.create();
 	readonly #loads = new Map<string, EndpointLoad>();
 	/** Endpoints that left while requests of this instance were under way there. */
 	readonly #leaving = new Map<string, EndpointLoad>();
@@ -85,9 +94,15 @@
 		this.pump();
 	}
 
+	/** Starts a request, lets it wait, or refuses it when those before it need more time than it has. */
 	submit(request: WaitingRequest): void {
+		const now = this.options.clock.now();
+		const ahead = this.#line.timelyAhead(request.tier);
 		this.#line.add(request);
 		this.pump();
+		if (this.#line.has(request)) {
+			this.#refuseHopeless(request, this.#startRate.expectedWait(request.tier, ahead, now), now);
+		}
 	}
 
 	/** Takes a request back whose caller has left or whose time has ended. */
@@ -116,15 +131,37 @@
 
 	/** Gives out all places that are free. */
 	pump(): void {
-		if (this.#line.size === 0) {
-			return;
+		if (this.#line.size > 0) {
+			const now = this.options.clock.now();
+			this.#reviewLate(now);
+			this.#startWaiting(now);
+			this.#startRate.noteLine(this.#line.size === 0, now);
 		}
+	}
 
-		const now = this.options.clock.now();
-		for (const request of this.#line.inOrder(now, startMs)) {
-			if (now + startMs > request.giveUpAt) {
+	/** A request that has become late waits on only if a place is expected in time for its caller. */
+	#reviewLate(now: Milliseconds): void {
+		for (const request of this.#line.moveLate(now, startMs)) {
+			this.#refuseHopeless(request, this.#startRate.expectedWait(lateRank, this.#line.lateAhead(request.tier) - 1, now), now);
+		}
+	}
+
+	#refuseHopeless(request: WaitingRequest, expectedWaitMs: Milliseconds | undefined, now: Milliseconds): void {
+		if (expectedWaitMs !== undefined && now + expectedWaitMs > request.startBy && this.#line.remove(request)) {
+			request.refuse(refusalReasons.overloaded, this.#retryAfter(request, now));
+		}
+	}
+
+	#retryAfter({giveUpAt}: WaitingRequest, now: Milliseconds): Milliseconds {
+		const {least, most} = retryAfterPart;
+		return Math.max(0, giveUpAt - now) * (least + ((most - least) * this.options.draw()));
+	}
+
+	#startWaiting(now: Milliseconds): void {
+		for (const request of this.#line.inOrder()) {
+			if (now > request.startBy) {
 				this.#line.remove(request);
-				request.refuse(refusalReasons.waitedTooLong, retryAfterMs);
+				request.refuse(refusalReasons.waitedTooLong, this.#retryAfter(request, now));
 				continue;
 			}
 
@@ -136,12 +173,13 @@
 
 				if (this.#hasTriedAll(request)) {
 					this.#line.remove(request);
-					request.refuse(refusalReasons.noEndpoint, retryAfterMs);
+					request.refuse(refusalReasons.noEndpoint, rejectedRetryAfterMs);
 				}
 
 				continue;
 			}
 
+			this.#startRate.noteStart(this.#line.isLate(request) ? lateRank : request.tier, now);
 			this.#line.remove(request);
 			this.#loads.get(place.endpointId)!.began();
 			this.options.coldLimits.note(place.endpointId, now);
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -21,6 +21,8 @@
 	readonly arrivedAt: Milliseconds;
 	/** Until then the first event, or the response, earns full credit. */
 	readonly targetAt: Milliseconds;
+	/** After that a start is of no use, because the caller leaves before the first event. */
+	readonly startBy: Milliseconds;
 	/** After that nobody waits for the response. */
 	readonly giveUpAt: Milliseconds;
 	readonly promptTokens: number;
--- a/src/gateway/scheduling/waiting-line.ts
+++ b/src/gateway/scheduling/waiting-line.ts
@@ -32,33 +32,60 @@
 		return isRemoved;
 	}
 
-	/**
-	Requests by rank, without removing them.
+	has(request: WaitingRequest): boolean {
+		return this.#timely.get(request.tier)?.has(request) === true || this.isLate(request);
+	}
 
-	@param startMs time from a start to the first event; a request whose target comes sooner counts as late
-	*/
-	* inOrder(now: Milliseconds, startMs: Milliseconds): Generator<WaitingRequest> {
-		this.#moveLate(now, startMs);
-		yield * this.#byTier(this.#timely);
-		yield * this.#byTier(this.#late);
+	isLate(request: WaitingRequest): boolean {
+		return this.#late.get(request.tier)?.has(request) === true;
 	}
 
-	all(): Iterable<WaitingRequest> {
-		return [...this.#byTier(this.#timely), ...this.#byTier(this.#late)];
+	/** Requests that can be in time and come before a new one of this tier. */
+	timelyAhead(tier: number): number {
+		let ahead = 0;
+		for (const [other, line] of this.#timely) {
+			ahead += other <= tier ? line.size : 0;
+		}
+
+		return ahead;
+	}
+
+	/** Late requests that come before a late one of this tier, itself among them. */
+	lateAhead(tier: number): number {
+		let ahead = 0;
+		for (const [other, line] of this.#late) {
+			ahead += other <= tier ? line.size : 0;
+		}
+
+		return ahead;
 	}
 
-	#moveLate(now: Milliseconds, startMs: Milliseconds): void {
+	/**
+	Moves requests that can no longer be in time behind those that can.
+
+	@param startMs time from a start to the first event; a request whose target comes sooner is late
+	@returns the requests that have become late
+	*/
+	moveLate(now: Milliseconds, startMs: Milliseconds): WaitingRequest[] {
+		const moved: WaitingRequest[] = [];
 		for (const [tier, line] of this.#timely) {
 			for (const request of line) {
-				if (now + startMs <= request.targetAt) {
-					// A request that returns after a failure may stand behind younger ones, so all are looked at.
-					continue;
+				// A request that returns after a failure may stand behind younger ones, so all are looked at.
+				if (now + startMs > request.targetAt) {
+					line.delete(request);
+					this.#line(this.#late, tier).add(request);
+					moved.push(request);
 				}
-
-				line.delete(request);
-				this.#line(this.#late, tier).add(request);
 			}
 		}
+
+		return moved;
+	}
+
+	/** Requests by rank, without removing them. */
+	* inOrder(): Generator<WaitingRequest> {
+		yield * this.#byTier(this.#timely);
+		yield * this.#byTier(this.#late);
 	}
 
 	* #byTier(lines: ReadonlyMap<number, Set<WaitingRequest>>): Generator<WaitingRequest> {
--- a/src/gateway/site/types.ts
+++ b/src/gateway/site/types.ts
@@ -30,6 +30,8 @@
 	/** Most endpoints to which one attempt of a caller may be sent. */
 	readonly maximumEndpoints: number;
 	readonly allowsAnonymous: boolean;
+	/** Longest pause between events for which a stream is in time; 0 when it has none. */
+	readonly eventGapTargetMs: Milliseconds;
 	/** Whether a stream may go on at another endpoint after its last whole event. */
 	readonly isResumable: boolean;
 };
--- /dev/null
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava';
+import {EndpointLoad} from '../../../src/gateway/scheduling/endpoint-load.js';
+import {createEndpoint} from '../../fixtures/gateway/documents.js';
+
+function createLoad(values = {}): EndpointLoad {
+	return EndpointLoad.create(createEndpoint(values), 0);
+}
+
+test('pauses an endpoint after a broken connection, longer each time', t => {
+	const load = createLoad();
+	load.began();
+	load.ended('broken', 1000);
+	t.true(load.isPaused(1200));
+	t.false(load.isPaused(1300));
+	load.began();
+	load.ended('broken', 2000);
+	t.true(load.isPaused(2400));
+	load.began();
+	load.ended('completed', 3000);
+	load.began();
+	load.ended('broken', 4000);
+	t.false(load.isPaused(4300));
+});
+
+test('an endpoint that fails most requests is told apart from one that fails a few', t => {
+	const load = createLoad();
+	for (let request = 0; request < 40; request++) {
+		load.began();
+		load.ended(request % 7 === 0 ? 'failed' : 'completed', request);
+	}
+
+	t.false(load.isFailing);
+	for (let request = 0; request < 8; request++) {
+		load.began();
+		load.ended('failed', 100 + request);
+	}
+
+	t.true(load.isFailing);
+});
+
+test('callers that leave and stated rejections say nothing of its health', t => {
+	const load = createLoad();
+	for (const outcome of ['cancelled', 'rejected'] as const) {
+		load.began();
+		load.ended(outcome, 0);
+	}
+
+	t.is(load.failedShare, 0);
+	t.is(load.running, 0);
+});
+
+test('the remaining cold time counts from when its figure was read first', t => {
+	const load = createLoad({coldRemainingMs: 2000});
+	t.true(load.isCold(1900));
+	load.update(createEndpoint({coldRemainingMs: 2000}), 1500);
+	t.false(load.isCold(2100));
+	load.update(createEndpoint({coldRemainingMs: 1000}), 3000);
+	t.true(load.isCold(3900));
+});
+
+test('a new start forgets the failures of the one before', t => {
+	const load = createLoad();
+	load.began();
+	load.ended('broken', 0);
+	load.update(createEndpoint({startedAt: 2000, coldRemainingMs: 3000}), 100);
+	t.false(load.isPaused(110));
+	t.true(load.isCold(110));
+});
--- /dev/null
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -0,0 +1,173 @@
+import test from 'ava';
+import {ColdLimits} from '../../../src/gateway/limits/cold-limits.js';
+import {ServiceScheduler} from '../../../src/gateway/scheduling/service-scheduler.js';
+import type {EndpointRecord} from '../../../src/gateway/site/types.js';
+import {bounds, createEndpoint, createService} from '../../fixtures/gateway/documents.js';
+import {createWaitingRequest, type RecordedRequest} from '../../fixtures/gateway/waiting-request.js';
+import {ManualClock} from '../../fixtures/manual-clock.js';
+
+type Options = {
+	readonly records?: readonly EndpointRecord[];
+	readonly peerRuns?: Readonly<Record<string, number>>;
+	readonly members?: readonly string[];
+	readonly knowsMembers?: boolean;
+};
+
+function createScheduler({records = [createEndpoint()], peerRuns = {}, members = ['own'], knowsMembers = true}: Options = {}) {
+	const clock = ManualClock.create(10_000);
+	const scheduler = ServiceScheduler.create({
+		service: createService(),
+		clock,
+		coldLimits: ColdLimits.create({bounds, ownHost: 'own'}),
+		availabilityZone: 'a',
+		peerRunsAt: id => peerRuns[id] ?? 0,
+		members: () => members,
+		knowsMembers: () => knowsMembers,
+		draw: () => 0.5,
+	});
+	scheduler.useEndpoints(records, new Set());
+	return {clock, scheduler};
+}
+
+function request(clock: ManualClock, values: Parameters<typeof createWaitingRequest>[0] = {}): RecordedRequest {
+	return createWaitingRequest({arrivedAt: clock.now(), ...values});
+}
+
+test('places are given out up to the slots, with the requests of other instances counted', t => {
+	const {clock, scheduler} = createScheduler({peerRuns: {'engine-1': 2}});
+	const requests = [0, 1, 2].map(() => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	t.deepEqual(requests.map(({startedAt}) => startedAt.length), [1, 1, 0]);
+	scheduler.ended('engine-1', 'completed');
+	t.is(requests[2]!.startedAt.length, 1);
+});
+
+test('a higher tier is started before a lower one that came earlier', t => {
+	const {clock, scheduler} = createScheduler({peerRuns: {'engine-1': 3}});
+	scheduler.submit(request(clock));
+	const low = request(clock, {tier: 2});
+	const high = request(clock, {tier: 0});
+	scheduler.submit(low);
+	scheduler.submit(high);
+	scheduler.ended('engine-1', 'completed');
+	t.is(high.startedAt.length, 1);
+	t.is(low.startedAt.length, 0);
+});
+
+const unusable: Array<[string, EndpointRecord, ReadonlySet<string>]> = [
+	['that is leaving', createEndpoint({isLeaving: true}), new Set()],
+	['in an evacuated zone', createEndpoint(), new Set(['a'])],
+];
+
+for (const [what, record, zones] of unusable) {
+	test(`an endpoint ${what} gets no request`, t => {
+		const {clock, scheduler} = createScheduler();
+		scheduler.useEndpoints([record], zones);
+		const waiting = request(clock);
+		scheduler.submit(waiting);
+		t.is(waiting.startedAt.length, 0);
+	});
+}
+
+test('a cold endpoint gets this instance\'s part of its rate, and nothing while the others are unknown', t => {
+	const records = [createEndpoint({coldRemainingMs: 3000, slots: 100})];
+	const members = ['own', 'b', 'c', 'd', 'e', 'f', 'g'];
+	const started = (knowsMembers: boolean) => {
+		const {clock, scheduler} = createScheduler({records, members, knowsMembers});
+		const requests = Array.from({length: 30}, () => request(clock));
+		for (const each of requests) {
+			scheduler.submit(each);
+		}
+
+		return requests.filter(({startedAt}) => startedAt.length > 0).length;
+	};
+
+	t.is(started(false), 0);
+	t.true(started(true) >= 3 && started(true) <= 4, 'a seventh of 27');
+});
+
+test('an endpoint that may have been restarted counts as cold', t => {
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 100})], members: ['own', 'b', 'c']});
+	scheduler.suspectCold('engine-1');
+	const requests = Array.from({length: 50}, () => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	t.is(requests.filter(({startedAt}) => startedAt.length > 0).length, 9);
+});
+
+test('a request that all endpoints have rejected is refused at once', t => {
+	const {clock, scheduler} = createScheduler();
+	const rejected = request(clock, {excluded: new Set(['engine-1'])});
+	scheduler.submit(rejected);
+	t.is(rejected.refusals[0]?.reason, 'no-endpoint');
+});
+
+test('a request is refused when its caller would leave before the first event', t => {
+	const {clock, scheduler} = createScheduler({records: []});
+	const waiting = request(clock, {startBy: 10_300});
+	scheduler.submit(waiting);
+	clock.advance(200);
+	scheduler.pump();
+	t.is(waiting.refusals.length, 0);
+	clock.advance(200);
+	scheduler.pump();
+	t.is(waiting.refusals[0]?.reason, 'waited-too-long');
+});
+
+type Outcome = {readonly started: number; readonly inTime: number; readonly refusedAfterMs: number[]};
+
+/** Plays a lasting overload: each 10 ms a request of each tier comes, and each 20 ms one place becomes free. */
+function playOverload(): ReadonlyMap<number, Outcome> {
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 1})]});
+	const all: Array<{tier: number; arrivedAt: number; startedAt?: number; refusedAt?: number}> = [];
+	for (let step = 0; step < 600; step++) {
+		for (const tier of step % 4 === 0 ? [0, 1, 2] : [1, 2]) {
+			const record: (typeof all)[number] = {tier, arrivedAt: clock.now()};
+			all.push(record);
+			scheduler.submit(request(clock, {
+				tier,
+				start() {
+					record.startedAt = clock.now();
+				},
+				refuse() {
+					record.refusedAt = clock.now();
+				},
+			}));
+		}
+
+		if (step % 2 === 0) {
+			scheduler.ended('engine-1', 'completed', 5);
+		}
+
+		clock.advance(10);
+	}
+
+	return new Map([0, 1, 2].map(tier => {
+		const ofTier = all.filter(record => record.tier === tier);
+		return [tier, {
+			started: ofTier.filter(({startedAt}) => startedAt !== undefined).length / ofTier.length,
+			inTime: ofTier.filter(({startedAt, arrivedAt}) => startedAt !== undefined && startedAt - arrivedAt <= 440).length / ofTier.length,
+			refusedAfterMs: ofTier.filter(({refusedAt}) => refusedAt !== undefined).map(({refusedAt, arrivedAt}) => refusedAt! - arrivedAt),
+		}];
+	}));
+}
+
+test('in a lasting overload the top tier is served in time and hopeless requests are refused as they come', t => {
+	const outcomes = playOverload();
+	t.true(outcomes.get(0)!.inTime > 0.98);
+	t.true(outcomes.get(1)!.started > outcomes.get(2)!.started);
+	const refusals = outcomes.get(2)!.refusedAfterMs;
+	t.true(refusals.filter(afterMs => afterMs === 0).length > 0.8 * refusals.length, 'most callers of the lowest tier hear at once that they must come back');
+});
+
+test('refused callers may come back spread over a part of their remaining time', t => {
+	const {clock, scheduler} = createScheduler({records: []});
+	const waiting = request(clock, {startBy: clock.now() - 1, giveUpAt: clock.now() + 10_000});
+	scheduler.submit(waiting);
+	t.is(waiting.refusals[0]?.retryAfterMs, 2650);
+});
