--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -30,7 +30,11 @@
 	});
 
 	readonly #latency = new Histogram({
-		name: 'jackdawfork_first_response_seconds', help: 'Time from the arrival of a request to its response or first event', labelNames: ['kind', 'tier'], buckets: latencyBuckets, registers: [this.#registry],
+		name: 'jackdawfork_first_response_seconds',
+		help: 'Time from the arrival of a request to its response or first event',
+		labelNames: ['kind', 'tier'],
+		buckets: latencyBuckets,
+		registers: [this.#registry],
 	});
 
 	readonly #dispatches = new Counter({
--- /dev/null
+++ b/test/gateway/callers/caller-server.test.ts
@@ -0,0 +1,76 @@
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {call} from '../../fixtures/gateway/caller.js';
+import {GatewaySite, type Gateway} from '../../fixtures/gateway/gateway-site.js';
+
+async function startSite(t: ExecutionContext) {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const endpoint = await site.addEndpoint({id: 'e0', isEngine: false});
+	return {endpoint, gateway: await site.addGateway()};
+}
+
+/** Sends text over a connection of its own and returns everything that comes back until it closes or a while has passed. */
+async function exchange({settings}: Gateway, text: string): Promise<string> {
+	const socket = connect(settings.callerAddress);
+	const chunks: Uint8Array[] = [];
+	socket.on('data', (chunk: Uint8Array) => {
+		chunks.push(chunk);
+	});
+	socket.on('error', () => {
+		// A reset ends the exchange like an orderly close.
+	});
+	socket.write(text);
+	await Promise.race([delay(400), new Promise(resolve => {
+		socket.once('close', resolve);
+	})]);
+	socket.destroy();
+	return Buffer.concat(chunks).toString();
+}
+
+const malformed: Array<[string, string]> = [
+	['two different lengths', 'POST /bookings/1 HTTP/1.1\r\nHost: office.example\r\nContent-Length: 3\r\nContent-Length: 40\r\n\r\nabc'],
+	['a length and chunks', 'POST /bookings/1 HTTP/1.1\r\nHost: office.example\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /lookups/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: smuggled\r\nAuthorization: Bearer key-wick\r\n\r\n'],
+	['no host', 'GET /lookups/1 HTTP/1.1\r\nX-Request-Id: r\r\n\r\n'],
+	['bytes that are no request', '\u0001\u0002\u0003\r\n\r\n'],
+];
+
+for (const [what, text] of malformed) {
+	test(`a request with ${what} reaches no endpoint and is answered with 400`, async t => {
+		const {endpoint, gateway} = await startSite(t);
+		t.regex(await exchange(gateway, text), /^HTTP\/1\.1 400 /v);
+		t.deepEqual(endpoint.seen, []);
+	});
+}
+
+test('a body beyond the configured limit is refused and its connection closed', async t => {
+	const {endpoint, gateway} = await startSite(t);
+	const result = await call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'.repeat(10_001)});
+	t.is(result.status, 413);
+	t.is(result.headers.connection, 'close');
+	t.deepEqual(endpoint.seen, []);
+});
+
+test('a chunked body arrives whole', async t => {
+	const {endpoint, gateway} = await startSite(t);
+	await exchange(gateway, 'POST /bookings/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: r\r\nAuthorization: Bearer key-wick\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n');
+	t.is(endpoint.seen[0]?.body, 'abcde');
+	t.is(endpoint.seen[0]?.headers['content-length'], '5');
+});
+
+test('a request inside the body of another is no request', async t => {
+	const {endpoint, gateway} = await startSite(t);
+	const inner = 'GET /lookups/2 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: inner\r\n\r\n';
+	await exchange(gateway, `POST /bookings/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: r\r\nAuthorization: Bearer key-wick\r\nContent-Length: ${inner.length}\r\n\r\n${inner}`);
+	t.deepEqual(endpoint.seen.map(({requestId}) => requestId), ['r']);
+	t.is(endpoint.seen[0]?.body, inner);
+});
+
+test('answers on one connection come in the order of its requests', async t => {
+	const {gateway} = await startSite(t);
+	const request = (id: string) => `GET /lookups/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: ${id}\r\nAuthorization: Bearer key-wick\r\n\r\n`;
+	const text = await exchange(gateway, request('one') + request('two'));
+	t.true(text.indexOf('answer to one') > 0 && text.indexOf('answer to one') < text.indexOf('answer to two'));
+});
--- /dev/null
+++ b/test/platform/gateway-program.test.ts
@@ -0,0 +1,133 @@
+import {writeFile} from 'node:fs/promises';
+import process from 'node:process';
+import anyTest, {type ExecutionContext, type TestFn} from 'ava';
+import {decodeSettings} from '../../platform/settings.js';
+import {PlatformEndpoint} from '../../standins/platform-endpoint.js';
+import {PlatformStore} from '../../standins/platform-store.js';
+import {call} from '../fixtures/gateway/caller.js';
+import {GatewayBundle, type GatewayProgram} from '../fixtures/gateway/gateway-program.js';
+import {createConfigurationDocument} from '../fixtures/gateway/gateway-site.js';
+import {until} from '../fixtures/until.js';
+
+const test = anyTest as TestFn<{bundle: GatewayBundle}>;
+
+test.before(async t => {
+	t.context.bundle = await GatewayBundle.build();
+});
+
+test.after.always(async t => {
+	await t.context.bundle.dispose();
+});
+
+let nextHost = 1;
+
+/* eslint-disable @typescript-eslint/naming-convention -- the platform's names */
+function createSettings(store: PlatformStore, seeds: readonly string[] = []) {
+	const host = `127.${201 + (process.pid % 50)}.0.${nextHost}`;
+	nextHost++;
+	return {
+		node_name: host,
+		ip: host,
+		zone: 'a',
+		internal_ports: [17_600, 17_615],
+		seeds: seeds.map(seed => `${seed}:18229`),
+		bootstrap: true,
+		listen: {front: `${host}:18221`, ready: `${host}:18224`},
+		limits: {max_fds: 1000},
+		bounds: {
+			contact_ms: 3000, drain_ms: 2000, grace_s: 8, revoke_ms: 5000, retry_budget_ratio: 0.2, retry_budget_extra: 54, quota_overage: 0.25, quota_slack: 140_000, cold_overage: 1.5, cold_slack: 5,
+		},
+		platform: {address: `${store.address.host}:${store.address.port}`, reads_per_s: 1000},
+	};
+}
+/* eslint-enable @typescript-eslint/naming-convention */
+
+type Settings = ReturnType<typeof createSettings>;
+
+function gatewayOf(settings: Settings) {
+	return {settings: decodeSettings(JSON.stringify(settings))};
+}
+
+async function startSite(t: ExecutionContext<{bundle: GatewayBundle}>, isEngine = false) {
+	const store = await PlatformStore.listen();
+	store.put('op/config', createConfigurationDocument());
+	const endpoint = await PlatformEndpoint.listen({
+		id: 'e1', isEngine, events: 40, eventMs: 25,
+	});
+	store.put('servers/e1', {
+		service: isEngine ? 'engines' : 'diaries', address: endpoint.address, zone: 'a', slots: 4, state: 'ready', born: 1,
+	});
+	t.teardown(async () => {
+		await endpoint.dispose();
+		await store.dispose();
+	});
+	return {store, endpoint};
+}
+
+async function startProgram(t: ExecutionContext<{bundle: GatewayBundle}>, settings: unknown): Promise<GatewayProgram> {
+	const program = await t.context.bundle.start(settings);
+	t.teardown(async () => program.dispose());
+	await until(() => program.has('ready'));
+	return program;
+}
+
+test('the bundled program serves a caller and answers the balancer', async t => {
+	const {store} = await startSite(t);
+	const settings = createSettings(store);
+	await startProgram(t, settings);
+	const ready = await fetch(`http://${settings.listen.ready}/api/ready`);
+	t.is(ready.status, 200);
+	t.like(await call(gatewayOf(settings), {headers: {'x-request-id': 'own'}}), {status: 200, body: 'answer to own'});
+	const metrics = await fetch(`http://${settings.ip}:17601/metrics`);
+	t.regex(await metrics.text(), /jackdawfork_requests_total\{kind="idempotent",outcome="answered"\} 1/v);
+});
+
+test('a planned stop finishes the request under way and says so', async t => {
+	const {store, endpoint} = await startSite(t, true);
+	const settings = createSettings(store);
+	const program = await startProgram(t, settings);
+	const answer = call(gatewayOf(settings), {path: '/drafts/1', method: 'POST', body: 'x'});
+	await until(() => endpoint.seen.length === 1);
+	program.child.kill('SIGTERM');
+	const result = await answer;
+	t.true(result.isComplete);
+	t.is(result.headers.connection, 'close');
+	t.is(await program.exited, 0);
+	t.true(program.has('stopping'));
+	t.true(program.has('stopped'));
+});
+
+test('processes find each other by a seed, and one serves on when the other is killed', async t => {
+	const {store} = await startSite(t);
+	const first = createSettings(store);
+	const second = createSettings(store, [first.ip]);
+	const killed = await startProgram(t, first);
+	const survivor = await startProgram(t, second);
+	await until(() => survivor.has('peer-joined') && killed.has('peer-joined'));
+	killed.child.kill('SIGKILL');
+	await killed.exited;
+	t.like(await call(gatewayOf(second)), {status: 200});
+	await until(() => survivor.has('peer-silent'));
+	t.true(survivor.has('peer-silent'));
+});
+
+test('changed seeds are taken over after the signal, and a broken file changes nothing', async t => {
+	const {store} = await startSite(t);
+	const settings = createSettings(store);
+	const program = await startProgram(t, settings);
+	await writeFile(program.settingsPath, 'not JSON');
+	program.child.kill('SIGHUP');
+	await until(() => program.has('reload-failed'));
+	await writeFile(program.settingsPath, JSON.stringify({...settings, seeds: ['127.0.0.9:1']}));
+	program.child.kill('SIGHUP');
+	await until(() => program.has('reloaded'));
+	t.true(program.has('reloaded'));
+	t.like(await call(gatewayOf(settings)), {status: 200});
+});
+
+test('wrong settings end the program with each wrong value named', async t => {
+	const {store} = await startSite(t);
+	const program = await t.context.bundle.start({...createSettings(store), ip: 7});
+	t.is(await program.exited, 2);
+	t.regex(program.output, /ip/v);
+});
