Log what decided a dispatch or a refusal and bound connections to endpoints

Cause: the log named the endpoint and the outcome, but not the load, the age of what was known, or the expected wait, so a refused request could not be explained. Connections to an endpoint had no bound of their own. Change: dispatch lines carry the requests under way, the slots and the age of the last reading; a request that is not started gets a line with the waiting requests and the expected wait. An instance uses its part of 0.8 of the connections that an endpoint accepts.

--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -8,7 +8,7 @@
 import {runOutcomes, type RunOutcome} from '../scheduling/endpoint-load.js';
 import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
 import {longestWait} from '../scheduling/patience.js';
-import {refusalReasons, type RefusalReason, type WaitingRequest} from '../scheduling/types.js';
+import {refusalReasons, type Refusal, type WaitingRequest} from '../scheduling/types.js';
 import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
 import type {EndpointConnection} from './endpoint-connections.js';
 import {EventSplitter} from './event-splitter.js';
@@ -58,6 +58,8 @@
 	readonly scheduler: ServiceScheduler;
 	readonly budgets: RepeatBudgets;
 	readonly members: () => number;
+	/** Age of the reading that confirmed the configuration and the endpoints. */
+	readonly confirmedAgeMs: () => Milliseconds | undefined;
 	readonly endpoint: (id: string) => EndpointRecord | undefined;
 	readonly connect: (endpoint: EndpointRecord, isRepeatable: boolean) => EndpointConnection;
 	/** Whether a request that arrived then may still be sent to the endpoint. */
@@ -125,11 +127,11 @@
 			outputTokens: facts.tokens?.output ?? 0,
 			promptParts: facts.promptParts,
 			excluded: this.#excluded,
-			start: endpointId => {
-				this.#start(endpointId);
+			start: (endpointId, running) => {
+				this.#start(endpointId, running);
 			},
-			refuse: (reason, retryAfterMs) => {
-				this.#refuse(reason, retryAfterMs);
+			refuse: refusal => {
+				this.#refuse(refusal);
 			},
 		};
 	}
@@ -161,7 +163,7 @@
 		const attempt = this.#attempt;
 		if (attempt === undefined) {
 			if (now >= this.#giveUpAt && this.context.scheduler.withdraw(this.#waiting)) {
-				this.#refuse(refusalReasons.waitedTooLong, 0);
+				this.#refuse({reason: refusalReasons.waitedTooLong, retryAfterMs: 0, waiting: this.context.scheduler.waiting});
 			}
 
 			return;
@@ -199,7 +201,7 @@
 		return this.request.route.kind === requestKinds.idempotent || this.request.route.isResumable;
 	}
 
-	#start(endpointId: string): void {
+	#start(endpointId: string, running: number): void {
 		const {context, request} = this;
 		const now = context.clock.now();
 		const endpoint = context.endpoint(endpointId);
@@ -227,6 +229,9 @@
 			route: request.route.name,
 			endpoint: endpointId,
 			send: this.#sends,
+			running,
+			slots: endpoint.slots,
+			confirmedAgeMs: context.confirmedAgeMs(),
 			waitedMs: Math.round(now - request.arrivedAt),
 			remainingMs: Math.round(this.#giveUpAt - now),
 			version: request.configurationVersion,
@@ -448,12 +453,15 @@
 		return this.context.budgets.take(this.request.service, this.context.members(), now);
 	}
 
-	#refuse(reason: RefusalReason, retryAfterMs: Milliseconds): void {
+	#refuse({reason, retryAfterMs, expectedWaitMs, waiting}: Refusal): void {
 		const types = {
 			[refusalReasons.noEndpoint]: 'noEndpoint',
 			[refusalReasons.overloaded]: 'overloaded',
 			[refusalReasons.waitedTooLong]: 'waitedTooLong',
 		} as const;
+		this.context.log.event('request-not-started', {
+			requestId: this.requestId, reason, waiting, expectedWaitMs: expectedWaitMs === undefined ? undefined : Math.round(expectedWaitMs), retryAfterMs: Math.round(retryAfterMs),
+		});
 		this.#fail(this.#ranAt.size === 0 ? {type: types[reason], retryAfterMs} : {type: 'endpointFailed'});
 	}
 
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -239,6 +239,7 @@
 			scheduler: this.#scheduler(service),
 			budgets: this.#budgets,
 			members: () => this.#peers.size + 1,
+			confirmedAgeMs: () => this.#confirmedAgeMs(),
 			endpoint: id => this.#site.endpoints.get(id),
 			connect: (endpoint, isRepeatable) => this.#connectionsTo(endpoint.address).acquire(isRepeatable),
 			maySend: (at, endpoint) => this.#maySend(at, endpoint),
@@ -339,6 +340,7 @@
 				availabilityZone: settings.availabilityZone,
 				peerRunsAt: id => this.#peers.runsAt(id),
 				members: () => this.#peers.members(),
+				memberCount: () => this.#peers.size + 1,
 				knowsMembers: () => clock.now() - this.#startedAt > membersKnownAfterMs,
 				draw: Math.random,
 			});
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -4,12 +4,15 @@
 import {EndpointLoad, type RunOutcome} from './endpoint-load.js';
 import {choosePlace, type Candidate} from './placement.js';
 import {lateRank, StartRate} from './start-rate.js';
-import {refusalReasons, type WaitingRequest} from './types.js';
+import {refusalReasons, type RefusalReason, type WaitingRequest} from './types.js';
 import {WaitingLine} from './waiting-line.js';
 
 /** Requests that an endpoint gets for each of its slots before the others wait here. */
 const loadForEachSlot = 1;
 
+/** Part of an endpoint's connections that all instances together use at most; the rest covers instances that count their members differently. */
+const connectionPart = 0.8;
+
 /** Least time that a request needs at an endpoint to be worth a start, in milliseconds. */
 const startMs: Milliseconds = 60;
 
@@ -30,6 +33,7 @@
 	readonly peerRunsAt: (endpointId: string) => number;
 	/** Hosts of all instances, this one among them. */
 	readonly members: () => readonly string[];
+	readonly memberCount: () => number;
 	/** Whether this process has looked for the others long enough to know its part of a cold endpoint's rate. */
 	readonly knowsMembers: () => boolean;
 	/** Draws from 0 to below 1. */
@@ -148,10 +152,16 @@
 
 	#refuseHopeless(request: WaitingRequest, expectedWaitMs: Milliseconds | undefined, now: Milliseconds): void {
 		if (expectedWaitMs !== undefined && now + expectedWaitMs > request.startBy && this.#line.remove(request)) {
-			request.refuse(refusalReasons.overloaded, this.#retryAfter(request, now));
+			this.#refuse(request, refusalReasons.overloaded, this.#retryAfter(request, now), expectedWaitMs);
 		}
 	}
 
+	#refuse(request: WaitingRequest, reason: RefusalReason, retryAfterMs: Milliseconds, expectedWaitMs?: Milliseconds): void {
+		request.refuse({
+			reason, retryAfterMs, expectedWaitMs, waiting: this.#line.size,
+		});
+	}
+
 	#retryAfter({giveUpAt}: WaitingRequest, now: Milliseconds): Milliseconds {
 		const {least, most} = retryAfterPart;
 		return Math.max(0, giveUpAt - now) * (least + ((most - least) * this.options.draw()));
@@ -161,7 +171,7 @@
 		for (const request of this.#line.inOrder()) {
 			if (now > request.startBy) {
 				this.#line.remove(request);
-				request.refuse(refusalReasons.waitedTooLong, this.#retryAfter(request, now));
+				this.#refuse(request, refusalReasons.waitedTooLong, this.#retryAfter(request, now));
 				continue;
 			}
 
@@ -173,7 +183,7 @@
 
 				if (this.#hasTriedAll(request)) {
 					this.#line.remove(request);
-					request.refuse(refusalReasons.noEndpoint, rejectedRetryAfterMs);
+					this.#refuse(request, refusalReasons.noEndpoint, rejectedRetryAfterMs);
 				}
 
 				continue;
@@ -183,7 +193,7 @@
 			this.#line.remove(request);
 			this.#loads.get(place.endpointId)!.began();
 			this.options.coldLimits.note(place.endpointId, now);
-			request.start(place.endpointId);
+			request.start(place.endpointId, place.running);
 		}
 	}
 
@@ -225,6 +235,10 @@
 			return false;
 		}
 
+		if (load.running >= Math.max(1, Math.floor(connectionPart * this.#service.maximumConnections / this.options.memberCount()))) {
+			return false;
+		}
+
 		const {coldRequestsPerSecond} = this.#service;
 		if (coldRequestsPerSecond === 0 || !load.isCold(now)) {
 			return true;
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -13,6 +13,17 @@
 
 export type RefusalReason = (typeof refusalReasons)[keyof typeof refusalReasons];
 
+/** A refusal with the figures that decided it. */
+export type Refusal = {
+	readonly reason: RefusalReason;
+	/** When the caller may come back. */
+	readonly retryAfterMs: Milliseconds;
+	/** Expected time until a place, when that was the reason. */
+	readonly expectedWaitMs?: Milliseconds;
+	/** Requests that waited at this instance. */
+	readonly waiting: number;
+};
+
 /** A request that waits for an endpoint. */
 export type WaitingRequest = {
 	readonly requestId: string;
@@ -30,6 +41,7 @@
 	readonly promptParts: readonly PromptPart[];
 	/** Endpoints that are not to be tried (again). */
 	readonly excluded: ReadonlySet<string>;
-	readonly start: (endpointId: string) => void;
-	readonly refuse: (reason: RefusalReason, retryAfterMs: Milliseconds) => void;
+	/** @param running requests of all instances under way at the endpoint, as far as known, before this one */
+	readonly start: (endpointId: string, running: number) => void;
+	readonly refuse: (refusal: Refusal) => void;
 };
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -22,6 +22,7 @@
 		availabilityZone: 'a',
 		peerRunsAt: id => peerRuns[id] ?? 0,
 		members: () => members,
+		memberCount: () => members.length,
 		knowsMembers: () => knowsMembers,
 		draw: () => 0.5,
 	});
@@ -89,6 +90,17 @@
 	t.true(started(true) >= 3 && started(true) <= 4, 'a seventh of 27');
 });
 
+test('an instance uses only its part of the connections that an endpoint accepts', t => {
+	const members = Array.from({length: 40}, (_, index) => index === 0 ? 'own' : `m${index}`);
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 100})], members});
+	const requests = Array.from({length: 10}, () => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	t.is(requests.filter(({startedAt}) => startedAt.length > 0).length, 2, 'a fortieth of 80 in 100');
+});
+
 test('an endpoint that may have been restarted counts as cold', t => {
 	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 100})], members: ['own', 'b', 'c']});
 	scheduler.suspectCold('engine-1');
