--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -64,6 +64,7 @@
 	readonly connect: (endpoint: EndpointRecord, isRepeatable: boolean) => EndpointConnection;
 	/** Whether a request that arrived then may still be sent to the endpoint. */
 	readonly maySend: (arrivedAt: Milliseconds, endpoint: EndpointRecord) => boolean;
+	readonly onAttemptEnd: (outcome: RunOutcome) => void;
 	readonly onEnd: (task: ForwardTask, result: ForwardResult) => void;
 };
 
@@ -345,6 +346,7 @@
 		this.#attempt = undefined;
 		const outcome = this.#outcomeOf(attempt, end);
 		const now = this.context.clock.now();
+		this.context.onAttemptEnd(outcome);
 		const eventMs = attempt.events >= eventsForPace ? (attempt.progressAt - attempt.firstEventAt!) / (attempt.events - 1) : undefined;
 		if (outcome === runOutcomes.broken) {
 			// The endpoint may have been restarted and be cold.
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -243,6 +243,9 @@
 			endpoint: id => this.#site.endpoints.get(id),
 			connect: (endpoint, isRepeatable) => this.#connectionsTo(endpoint.address).acquire(isRepeatable),
 			maySend: (at, endpoint) => this.#maySend(at, endpoint),
+			onAttemptEnd: outcome => {
+				this.#metrics.attemptEnded(outcome);
+			},
 			onEnd: (ended, result) => {
 				this.#tasks.delete(ended);
 				if (!result.mayHaveRun && workspace !== undefined) {
--- a/test/platform/gateway-program.test.ts
+++ b/test/platform/gateway-program.test.ts
@@ -79,7 +79,9 @@
 	t.is(ready.status, 200);
 	t.like(await call(gatewayOf(settings), {headers: {'x-request-id': 'own'}}), {status: 200, body: 'answer to own'});
 	const metrics = await fetch(`http://${settings.ip}:17601/metrics`);
-	t.regex(await metrics.text(), /jackdawfork_requests_total\{kind="idempotent",outcome="answered"\} 1/v);
+	const text = await metrics.text();
+	t.regex(text, /jackdawfork_requests_total\{kind="idempotent",outcome="answered"\} 1/v);
+	t.regex(text, /jackdawfork_endpoint_attempts_total\{outcome="completed"\} 1/v);
 });
 
 test('a planned stop finishes the request under way and says so', async t => {
