Split forwarding and the gateway process, and keep errors out of continued streams

Cause: reading the change as a newcomer: forward-task.ts held the request's way and what came back of each try in one class of 500 lines. While splitting it, a fault showed: when the endpoint that should continue a stream answered with a client error, its body was appended to the stream as if whole. Change: Attempt holds one try and judges its response; the process hands schedulers, connections and log fields to modules of their own. A continuation that is no stream counts as failed.

--- a/src/gateway/callers/http-response.ts
+++ b/src/gateway/callers/http-response.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import type {CallerResponse} from '../forwarding/forward-task.js';
+import type {CallerResponse} from '../forwarding/types.js';
 import {gatewayFailures, type GatewayFailure} from './failures.js';
 
 /** Most bytes that wait for a caller who does not read, after which its connection is closed. The longest streams have about 40,000 bytes. */
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -1,18 +1,14 @@
-import {Buffer} from 'node:buffer';
-import type {Clock, Milliseconds} from '../../shared/clock.js';
-import type {GatewayFailure, GatewayFailureType} from '../callers/failures.js';
-import type {CallerRequestFacts} from '../callers/types.js';
-import type {RepeatBudgets} from '../limits/repeat-budgets.js';
-import type {DecisionLog} from '../observability/decision-log.js';
-import type {Protocol} from '../protocol.js';
+import type {Milliseconds} from '../../shared/clock.js';
+import type {GatewayFailure} from '../callers/failures.js';
 import {runOutcomes, type RunOutcome} from '../scheduling/endpoint-load.js';
-import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
 import {longestWait} from '../scheduling/patience.js';
 import {refusalReasons, type Refusal, type WaitingRequest} from '../scheduling/types.js';
 import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
-import type {EndpointConnection} from './endpoint-connections.js';
-import {EventSplitter} from './event-splitter.js';
+import {Attempt, responseKinds} from './attempt.js';
 import {Exchange, type ExchangeEnd, type ResponseHead} from './exchange.js';
+import type {
+	CallerResponse, ForwardContext, ForwardRequest, ForwardResult,
+} from './types.js';
 
 /** Silence of a stream that has begun after which it is continued elsewhere. Callers leave after 2,000 ms, and an engine that reads a long prompt pauses for up to about 1,000 ms. */
 const streamSilenceMs: Milliseconds = 1400;
@@ -20,80 +16,6 @@
 /** Time past the end of a request after which it is ended here: the endpoint, which knows the same end, answers first. */
 const endMarginMs: Milliseconds = 120;
 
-/** Events of a stream from which its pace is learnt. */
-const eventsForPace = 4;
-
-/** Largest response of a plain service that is kept until it is whole, in bytes. */
-const maximumKeptBytes = 4_194_304;
-
-/** Where the answer goes. */
-export type CallerResponse = {
-	/** @param isFramed false when the answer is to end with its connection, as the endpoint's did */
-	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void;
-	write(chunk: Uint8Array): void;
-	end(chunk?: Uint8Array): void;
-	/** Ends the connection so that the answer does not look complete. */
-	destroy(): void;
-	fail(failure: GatewayFailure): void;
-};
-
-export type ForwardRequest = {
-	readonly facts: CallerRequestFacts & {readonly requestId: string};
-	readonly method: string;
-	readonly path: string;
-	readonly rawHeaders: readonly string[];
-	readonly body?: Uint8Array;
-	readonly route: Route;
-	readonly service: string;
-	readonly tier: number;
-	readonly workspace?: string;
-	readonly arrivedAt: Milliseconds;
-	readonly configurationVersion: number;
-};
-
-export type ForwardContext = {
-	readonly clock: Clock;
-	readonly log: DecisionLog;
-	readonly protocol: Protocol;
-	readonly scheduler: ServiceScheduler;
-	readonly budgets: RepeatBudgets;
-	readonly members: () => number;
-	/** Age of the reading that confirmed the configuration and the endpoints. */
-	readonly confirmedAgeMs: () => Milliseconds | undefined;
-	readonly endpoint: (id: string) => EndpointRecord | undefined;
-	readonly connect: (endpoint: EndpointRecord, isRepeatable: boolean) => EndpointConnection;
-	/** Whether a request that arrived then may still be sent to the endpoint. */
-	readonly maySend: (arrivedAt: Milliseconds, endpoint: EndpointRecord) => boolean;
-	readonly onAttemptEnd: (outcome: RunOutcome) => void;
-	readonly onEnd: (task: ForwardTask, result: ForwardResult) => void;
-};
-
-export type ForwardResult = {
-	readonly outcome: 'answered' | 'cut' | 'caller-left' | GatewayFailureType;
-	readonly status?: number;
-	/** Whether an endpoint may have run it. */
-	readonly mayHaveRun: boolean;
-	readonly firstMs?: Milliseconds;
-};
-
-/** One try at an endpoint. */
-type Attempt = {
-	readonly endpointId: string;
-	readonly sentAt: Milliseconds;
-	exchange?: Exchange;
-	head?: ResponseHead;
-	isFramed: boolean;
-	/** What the response turned out to be. */
-	kind: 'pending' | 'relay' | 'rejected' | 'failed' | 'foreign';
-	readonly kept: Uint8Array[];
-	keptBytes: number;
-	splitter?: EventSplitter;
-	progressAt: Milliseconds;
-	firstEventAt?: Milliseconds;
-	events: number;
-	isSilent: boolean;
-};
-
 /** One request of a caller on its way through the queue, to one endpoint or several in turn, and back. */
 export class ForwardTask {
 	static create(request: ForwardRequest, response: CallerResponse, context: ForwardContext): ForwardTask {
@@ -161,8 +83,7 @@
 			attempt.exchange?.cancel(new Error('the time of the request has ended'));
 			this.#fail({type: 'timedOut'});
 		} else if (this.request.route.isResumable && attempt.events > 0 && now - attempt.progressAt > streamSilenceMs && this.#mayRepeat(attempt, now) && this.#takeBudget(now)) {
-			attempt.isSilent = true;
-			attempt.exchange?.cancel(new Error(`the stream was silent for ${streamSilenceMs} ms`));
+			attempt.cancelSilent(streamSilenceMs);
 		}
 	}
 
@@ -216,18 +137,9 @@
 		const {context, request} = this;
 		const now = context.clock.now();
 		const endpoint = context.endpoint(endpointId);
-		const attempt: Attempt = {
-			endpointId,
-			sentAt: now,
-			kind: 'pending',
-			isFramed: true,
-			kept: [],
-			keptBytes: 0,
-			progressAt: now,
-			events: 0,
-			isSilent: false,
-			splitter: request.route.isResumable ? EventSplitter.create() : undefined,
-		};
+		const attempt = Attempt.create({
+			endpointId, requestId: this.requestId, route: request.route, protocol: context.protocol, sentAt: now, isContinuation: this.#hasHeadSent,
+		});
 		this.#attempt = attempt;
 		if (endpoint === undefined) {
 			this.#attemptEnded(attempt, {kind: 'not-sent', error: new Error('the endpoint is gone')});
@@ -248,15 +160,19 @@
 			version: request.configurationVersion,
 			afterEvent: this.#lastEventId,
 		});
-		const connection = context.connect(endpoint, this.#isRepeatable());
+		this.#send(attempt, endpoint);
+	}
+
+	#send(attempt: Attempt, endpoint: EndpointRecord): void {
+		const {context, request} = this;
 		attempt.exchange = Exchange.start({
-			connection,
+			connection: context.connect(endpoint, this.#isRepeatable()),
 			method: request.method,
 			path: request.path,
 			headers: context.protocol.encodeEndpointHeaders({
 				rawHeaders: request.rawHeaders,
-				endpointId,
-				remainingMs: Math.max(1, Math.floor(this.#giveUpAt - now)),
+				endpointId: endpoint.id,
+				remainingMs: Math.max(1, Math.floor(this.#giveUpAt - attempt.sentAt)),
 				workspace: request.workspace,
 				lastEventId: this.#lastEventId,
 			}),
@@ -264,7 +180,7 @@
 			maySend: () => {
 				const maySend = !this.#isEnded && this.#attempt === attempt && context.maySend(request.arrivedAt, endpoint);
 				if (maySend) {
-					this.#ranAt.add(endpointId);
+					this.#ranAt.add(endpoint.id);
 				}
 
 				return maySend;
@@ -282,63 +198,25 @@
 	}
 
 	#onHead(attempt: Attempt, head: ResponseHead): void {
-		attempt.head = head;
-		attempt.progressAt = this.context.clock.now();
-		const facts = this.context.protocol.decodeResponseHeaders(head.status, head.headers);
-		attempt.isFramed = facts.isFramed;
-		if (facts.requestId !== undefined && facts.requestId !== this.requestId) {
-			attempt.kind = 'foreign';
-			this.context.log.event('foreign-answer', {requestId: this.requestId, endpoint: attempt.endpointId, answerTo: facts.requestId});
-			attempt.exchange?.cancel(new Error('the answer belongs to another request'));
-		} else if (facts.isNotRun) {
-			attempt.kind = 'rejected';
-		} else if (!facts.isSealed || facts.hasContentEncoding) {
-			attempt.kind = 'foreign';
-			attempt.exchange?.cancel(new Error('the answer is not the endpoint\'s own'));
-		} else {
-			attempt.kind = head.status >= 500 ? 'failed' : 'relay';
+		const answerTo = attempt.acceptHead(head, this.context.clock.now());
+		if (attempt.kind === responseKinds.foreign) {
+			this.context.log.event('foreign-answer', {
+				requestId: this.requestId, endpoint: attempt.endpointId, answerTo, status: head.status,
+			});
+			attempt.exchange?.cancel(new Error('the answer is not the endpoint\'s own to this request'));
 		}
 	}
 
 	#onData(attempt: Attempt, chunk: Uint8Array): void {
-		attempt.progressAt = this.context.clock.now();
-		if (attempt.kind === 'relay' && this.#isStream(attempt)) {
-			this.#relayEvents(attempt, chunk);
-			return;
-		}
-
-		attempt.kept.push(chunk);
-		attempt.keptBytes += chunk.byteLength;
-		if (attempt.keptBytes > maximumKeptBytes) {
-			attempt.exchange?.cancel(new Error(`the response is longer than ${maximumKeptBytes} bytes`));
-		}
-	}
-
-	#isStream(attempt: Attempt): boolean {
-		return this.request.route.kind === requestKinds.streaming && attempt.head!.status < 300;
-	}
-
-	#relayEvents(attempt: Attempt, chunk: Uint8Array): void {
-		let bytes: Uint8Array = chunk;
-		if (attempt.splitter !== undefined) {
-			const whole = attempt.splitter.push(chunk);
-			if (whole === undefined) {
-				return;
-			}
-
-			bytes = whole.bytes;
-			this.#lastEventId = whole.lastId ?? this.#lastEventId;
-		}
-
-		attempt.events++;
-		if (attempt.firstEventAt === undefined) {
-			attempt.firstEventAt = attempt.progressAt;
-			this.#firstMs ??= attempt.progressAt - this.request.arrivedAt;
+		const now = this.context.clock.now();
+		const part = attempt.acceptData(chunk, now);
+		if (part !== undefined) {
+			this.#lastEventId = part.lastEventId ?? this.#lastEventId;
+			this.#lastProgressAt = now;
+			this.#firstMs ??= now - this.request.arrivedAt;
+			this.#sendHead(attempt);
+			this.response.write(part.bytes);
 		}
-
-		this.#lastProgressAt = attempt.progressAt;
-		this.#sendHead(attempt);
-		this.response.write(bytes);
 	}
 
 	/** A stream that goes on elsewhere keeps the head of its first response. */
@@ -355,10 +233,9 @@
 		}
 
 		this.#attempt = undefined;
-		const outcome = this.#outcomeOf(attempt, end);
+		const outcome = attempt.outcome(end);
 		const now = this.context.clock.now();
 		this.context.onAttemptEnd(outcome);
-		const eventMs = attempt.events >= eventsForPace ? (attempt.progressAt - attempt.firstEventAt!) / (attempt.events - 1) : undefined;
 		if (outcome === runOutcomes.broken) {
 			// The endpoint may have been restarted and be cold.
 			this.context.scheduler.suspectCold(attempt.endpointId);
@@ -389,46 +266,12 @@
 			this.#repeatOrFail(attempt, outcome, end, now);
 		}
 
-		this.context.scheduler.ended(attempt.endpointId, outcome, eventMs);
-	}
-
-	#outcomeOf(attempt: Attempt, end: ExchangeEnd): RunOutcome {
-		if (attempt.isSilent) {
-			return runOutcomes.silent;
-		}
-
-		if (end.kind !== 'complete') {
-			return runOutcomes.broken;
-		}
-
-		switch (attempt.kind) {
-			case 'relay': {
-				return attempt.splitter?.hasPartialEvent === true ? runOutcomes.broken : runOutcomes.completed;
-			}
-
-			case 'rejected': {
-				return runOutcomes.rejected;
-			}
-
-			case 'failed': {
-				return runOutcomes.failed;
-			}
-
-			case 'pending':
-			case 'foreign': {
-				return runOutcomes.broken;
-			}
-		}
+		this.context.scheduler.ended(attempt.endpointId, outcome, attempt.eventMs);
 	}
 
 	#finish(attempt: Attempt): void {
-		const isStream = this.#isStream(attempt);
 		this.#sendHead(attempt);
-		if (isStream) {
-			this.response.end();
-		} else {
-			this.response.end(Buffer.concat(attempt.kept));
-		}
+		this.response.end(attempt.isStream ? undefined : attempt.body);
 
 		this.#firstMs ??= this.context.clock.now() - this.request.arrivedAt;
 		this.#end({
@@ -448,7 +291,7 @@
 			this.#submitAgain();
 		} else if (isNotRun) {
 			this.#fail(this.#ranAt.size === 0 ? {type: 'notRun', retryAfterMs: 500} : {type: 'endpointFailed'});
-		} else if (attempt.kind === 'failed' && end.kind === 'complete' && !this.#hasHeadSent) {
+		} else if (attempt.kind === responseKinds.failed && end.kind === 'complete' && !this.#hasHeadSent) {
 			this.#finish(attempt);
 		} else {
 			this.#fail({type: 'endpointFailed'});
@@ -468,7 +311,7 @@
 	#mayRepeat(attempt: Attempt, now: Milliseconds): boolean {
 		const {route} = this.request;
 		return this.#isRepeatable() && this.#ranAt.size < route.maximumEndpoints && now < this.#giveUpAt
-			&& (!this.#hasHeadSent || (attempt.splitter !== undefined && this.#lastEventId !== undefined));
+			&& (!this.#hasHeadSent || (attempt.canBeContinued && this.#lastEventId !== undefined));
 	}
 
 	#takeBudget(now: Milliseconds): boolean {
@@ -503,6 +346,6 @@
 
 	#end(result: ForwardResult): void {
 		this.#isEnded = true;
-		this.context.onEnd(this, result);
+		this.context.onEnd(result);
 	}
 }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -3,8 +3,9 @@
 import {DisposableStore} from '../shared/disposable-store.js';
 import {Admission} from './callers/admission.js';
 import {CallerServer, type ReadRequest} from './callers/caller-server.js';
-import {EndpointConnections} from './forwarding/endpoint-connections.js';
-import {ForwardTask, type ForwardResult} from './forwarding/forward-task.js';
+import {ConnectionDirectory} from './forwarding/connection-directory.js';
+import {ForwardTask} from './forwarding/forward-task.js';
+import type {ForwardResult} from './forwarding/types.js';
 import {ColdLimits} from './limits/cold-limits.js';
 import {RepeatBudgets} from './limits/repeat-budgets.js';
 import {WorkspaceQuotas} from './limits/workspace-quotas.js';
@@ -14,8 +15,10 @@
 import type {DecisionLog} from './observability/decision-log.js';
 import {GatewayMetrics} from './observability/gateway-metrics.js';
 import {PageServer} from './observability/page-server.js';
+import {siteChangeFields} from './observability/site-change-fields.js';
 import type {Protocol} from './protocol.js';
 import {ServiceScheduler} from './scheduling/service-scheduler.js';
+import {ServiceSchedulers} from './scheduling/service-schedulers.js';
 import type {InstanceSettings} from './settings.js';
 import {Freshness} from './site/freshness.js';
 import {SiteReaderTask, type SiteSource} from './site/site-reader-task.js';
@@ -65,8 +68,8 @@
 	readonly #callers: CallerServer;
 	readonly #reader: SiteReaderTask;
 	readonly #beats: BeatTask;
-	readonly #schedulers = new Map<string, ServiceScheduler>();
-	readonly #connections = new Map<string, EndpointConnections>();
+	readonly #schedulers: ServiceSchedulers;
+	readonly #connections: ConnectionDirectory;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #startedAt: Milliseconds;
 	#stopAt: Milliseconds | undefined;
@@ -81,6 +84,10 @@
 		this.#coldLimits = ColdLimits.create({bounds: settings.bounds, ownHost: settings.host});
 		this.#budgets = RepeatBudgets.create(settings.bounds);
 		this.#freshness = Freshness.create(settings.bounds.revocationMs);
+		this.#connections = ConnectionDirectory.create(clock, () => {
+			this.#metrics.connected();
+		});
+		this.#schedulers = ServiceSchedulers.create({site: this.#site, createScheduler: service => this.#createScheduler(service)});
 		this.#admission = Admission.create({
 			site: this.#site, freshness: this.#freshness, quotas: this.#quotas, clock, draw: Math.random,
 		});
@@ -111,7 +118,7 @@
 			incarnation: randomInt(incarnations),
 			clock,
 			log,
-			content: () => ({runs: this.#ownRuns(), usage: this.#quotas.usage()}),
+			content: () => ({runs: this.#schedulers.runs(), usage: this.#quotas.usage()}),
 			targets: () => this.#peers.hosts(),
 			presentHosts: () => this.#peers.presentHosts(),
 			onBeat: beat => {
@@ -176,7 +183,7 @@
 		const closed = this.#callers.close();
 		this.#callers.closeAllConnections();
 		await Promise.all([closed, this.#disposables.dispose()]);
-		await Promise.all([...this.#connections.values()].map(async connections => connections.dispose()));
+		await this.#connections.dispose();
 	}
 
 	async #startPages(settings: InstanceSettings, protocol: Protocol): Promise<void> {
@@ -236,23 +243,23 @@
 			clock,
 			log,
 			protocol,
-			scheduler: this.#scheduler(service),
+			scheduler: this.#schedulers.of(this.#site.routes!.service(service)!),
 			budgets: this.#budgets,
 			members: () => this.#peers.size + 1,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
 			endpoint: id => this.#site.endpoints.get(id),
-			connect: (endpoint, isRepeatable) => this.#connectionsTo(endpoint.address).acquire(isRepeatable),
+			connect: (endpoint, isRepeatable) => this.#connections.to(endpoint.address).acquire(isRepeatable),
 			maySend: (at, endpoint) => this.#maySend(at, endpoint),
 			onAttemptEnd: outcome => {
 				this.#metrics.attemptEnded(outcome);
 			},
-			onEnd: (ended, result) => {
-				this.#tasks.delete(ended);
+			onEnd: result => {
+				this.#tasks.delete(task);
 				if (!result.mayHaveRun && workspace !== undefined) {
 					this.#quotas.giveBack(workspace.name, units);
 				}
 
-				this.#logEnd(ended, tier, arrivedAt, result);
+				this.#logEnd(task, tier, arrivedAt, result);
 			},
 		});
 		this.#tasks.add(task);
@@ -283,7 +290,7 @@
 		const now = this.options.clock.now();
 		this.#onPeerChanges(this.#peers.receive(beat, now));
 		this.#quotas.applyPeer(beat.host, beat.incarnation, beat.usage, now);
-		this.#pumpAll();
+		this.#schedulers.pump();
 	}
 
 	#onPeerChanges(changes: readonly PeerChange[]): void {
@@ -298,85 +305,31 @@
 	#onSiteChanges(changes: readonly SiteChange[]): void {
 		const {log, clock} = this.options;
 		for (const change of changes) {
-			log.event(change.kind, this.#fieldsOf(change));
+			log.event(change.kind, siteChangeFields(change));
 		}
 
 		const {routes} = this.#site;
 		if (routes !== undefined && changes.some(change => change.kind === 'configuration')) {
 			this.#callers.useLimits(routes.configuration.limits);
 			this.#quotas.configure(routes.workspaces(), clock.now());
-			for (const service of routes.services()) {
-				this.#scheduler(service.name).useService(service);
-			}
-		}
-
-		for (const [service, scheduler] of this.#schedulers) {
-			scheduler.useEndpoints([...this.#site.endpoints.values()].filter(endpoint => endpoint.service === service), this.#site.evacuatedZones);
-		}
-	}
-
-	#fieldsOf(change: SiteChange): Record<string, string | number | boolean | undefined> {
-		if ('endpoint' in change) {
-			const {id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt} = change.endpoint;
-			return {
-				endpoint: id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt,
-			};
-		}
-
-		if ('record' in change) {
-			return {key: change.record.key, reason: change.record.reason};
 		}
 
-		const {kind, ...fields} = change;
-		return fields;
+		this.#schedulers.update();
 	}
 
-	#scheduler(name: string): ServiceScheduler {
-		let scheduler = this.#schedulers.get(name);
-		if (scheduler === undefined) {
-			const {clock, settings} = this.options;
-			const service: Service = this.#site.routes!.service(name)!;
-			scheduler = ServiceScheduler.create({
-				service,
-				clock,
-				coldLimits: this.#coldLimits,
-				availabilityZone: settings.availabilityZone,
-				peerRunsAt: id => this.#peers.runsAt(id),
-				members: () => this.#peers.members(),
-				memberCount: () => this.#peers.size + 1,
-				knowsMembers: () => clock.now() - this.#startedAt > membersKnownAfterMs,
-				draw: Math.random,
-			});
-			this.#schedulers.set(name, scheduler);
-			scheduler.useEndpoints([...this.#site.endpoints.values()].filter(endpoint => endpoint.service === name), this.#site.evacuatedZones);
-		}
-
-		return scheduler;
-	}
-
-	#connectionsTo(address: string): EndpointConnections {
-		let connections = this.#connections.get(address);
-		if (connections === undefined) {
-			connections = EndpointConnections.create(address, this.options.clock, () => {
-				this.#metrics.connected();
-			});
-			this.#connections.set(address, connections);
-		}
-
-		return connections;
-	}
-
-	#ownRuns(): Array<[string, number]> {
-		const runs: Array<[string, number]> = [];
-		for (const scheduler of this.#schedulers.values()) {
-			for (const [id, load] of scheduler.loads) {
-				if (load.running > 0) {
-					runs.push([id, load.running]);
-				}
-			}
-		}
-
-		return runs;
+	#createScheduler(service: Service): ServiceScheduler {
+		const {clock, settings} = this.options;
+		return ServiceScheduler.create({
+			service,
+			clock,
+			coldLimits: this.#coldLimits,
+			availabilityZone: settings.availabilityZone,
+			peerRunsAt: id => this.#peers.runsAt(id),
+			members: () => this.#peers.members(),
+			memberCount: () => this.#peers.size + 1,
+			knowsMembers: () => clock.now() - this.#startedAt > membersKnownAfterMs,
+			draw: Math.random,
+		});
 	}
 
 	#check(): void {
@@ -385,10 +338,8 @@
 			task.check(now);
 		}
 
-		this.#pumpAll();
-		for (const connections of this.#connections.values()) {
-			connections.closeIdle();
-		}
+		this.#schedulers.pump();
+		this.#connections.closeIdle();
 
 		const {isReady} = this;
 		if (isReady !== this.#wasReady) {
@@ -397,35 +348,19 @@
 		}
 	}
 
-	#pumpAll(): void {
-		for (const scheduler of this.#schedulers.values()) {
-			scheduler.pump();
-		}
-	}
-
 	#confirmedAgeMs(): number | undefined {
 		const {confirmedAt} = this.#site;
 		return confirmedAt === undefined ? undefined : Math.round(this.options.clock.now() - confirmedAt);
 	}
 
 	async #renderMetrics(): Promise<string> {
-		const waiting: Record<string, number> = {};
-		for (const [service, scheduler] of this.#schedulers) {
-			waiting[service] = scheduler.waiting;
-		}
-
-		let endpointConnections = 0;
-		for (const connections of this.#connections.values()) {
-			endpointConnections += connections.size;
-		}
-
 		return this.#metrics.render({
-			waiting,
+			waiting: this.#schedulers.waiting(),
 			running: [...this.#tasks].filter(task => task.isRunning).length,
 			openRequests: this.#callers.open,
 			presentPeers: this.#peers.presentHosts().length,
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
-			endpointConnections,
+			endpointConnections: this.#connections.size,
 		});
 	}
 
--- /dev/null
+++ b/src/gateway/observability/site-change-fields.ts
@@ -0,0 +1,19 @@
+import type {SiteChange} from '../site/site-state.js';
+import type {LogFields} from './decision-log.js';
+
+/** What the log says of a change of the site. */
+export function siteChangeFields(change: SiteChange): LogFields {
+	if ('endpoint' in change) {
+		const {id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt} = change.endpoint;
+		return {
+			endpoint: id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt,
+		};
+	}
+
+	if ('record' in change) {
+		return {key: change.record.key, reason: change.record.reason};
+	}
+
+	const {kind, ...fields} = change;
+	return fields;
+}
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -11,6 +11,8 @@
 	reject: 'reject',
 	/** It is run and answered with an error. */
 	error: 'error',
+	/** It is run and answered with a client error. */
+	notFound: 'not-found',
 	/** It is run, and the connection is reset without an answer. */
 	reset: 'reset',
 	/** It is run, and no answer comes. */
@@ -130,6 +132,10 @@
 				response.writeHead(500, seal(id, requestId));
 				response.end('failed');
 			},
+			'not-found'() {
+				response.writeHead(404, seal(id, requestId));
+				response.end('nothing here');
+			},
 			reset() {
 				resetConnection(request);
 			},
--- a/test/gateway/forwarding/forward-task.test.ts
+++ b/test/gateway/forwarding/forward-task.test.ts
@@ -118,6 +118,16 @@
 	});
 }
 
+test('the error of an endpoint that should continue a stream never becomes part of the stream', async t => {
+	const {gateway, endpoints: [first, second]} = await startSite(t, true);
+	first!.faults.push('cut-stream');
+	second!.faults.push('not-found');
+	const result = await call(gateway, {path: '/streams/1', method: 'POST', body: 'x'});
+	t.is(second!.seen.length, 1);
+	t.false(result.isComplete);
+	t.notRegex(result.body, /nothing here/v);
+});
+
 test('a stream that is cut long after its start goes on elsewhere', async t => {
 	const {gateway, endpoints: [first, second]} = await startSite(t, true, 2, {eventMs: 900});
 	first!.faults.push('cut-stream');
