Charge departed peers no longer, and suspect a restart only of endpoints that show it

Cause: a peer that left in order was dropped from the membership, but its even part of each quota stayed deducted, because only forgotten peers were dropped from the quotas, and its last beat put it back. A beat that was overtaken by a later one set back the totals, so that the units since then were counted twice.

Change: PeerAccounting takes beats into the group and the quotas together. EndpointLoad says after each request whether the endpoint may have been restarted: no connection, or all requests broke off together. A send that was withheld here no longer counts as a failure of the endpoint. The configured limit of headers is enforced with 431. Settings and fields that nothing read are gone; one function listens, one schema checks addresses; the parts of cold endpoints are ranked once for each set of members.

Ruled out: suspecting a restart after a single break; the store's next reading shows a new start.

--- a/src/entry/observability/operator-server.ts
+++ b/src/entry/observability/operator-server.ts
@@ -2,6 +2,7 @@
 import {
 	H3, toNodeHandler, type H3Event, type HTTPError,
 } from 'h3/node';
+import {listen} from '../../shared/listen.js';
 import type {AuditReport} from '../../shared/audit.js';
 import type {Clock} from '../../shared/clock.js';
 import {
@@ -68,13 +69,7 @@
 	/** @throws {Error} when the address can't be bound */
 	async listen(): Promise<void> {
 		const {host, port} = splitAddress(this.options.settings.listen.operators);
-		return new Promise((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
+		await listen(this.#server, {host, port});
 	}
 
 	async dispose(): Promise<void> {
--- a/src/entry/platform/instance-list-client.ts
+++ b/src/entry/platform/instance-list-client.ts
@@ -1,12 +1,11 @@
 /** Adapter for the platform's instance list. */
 import {z} from 'zod';
+import {hostAndPort} from '../../shared/address.js';
 import type {Milliseconds} from '../../shared/clock.js';
 import {JsonClient} from './json-client.js';
 import {PlatformError, platformErrorTypes} from './platform-error.js';
 import type {InstanceList, InstanceListing} from './types.js';
 
-const address = z.string().regex(/^[^\s:]+:\d{1,5}$/v, 'expected host:port');
-
 const listingSchema = z.object({
 	revision: z.number().int().nonnegative(),
 	instances: z.array(z.object({
@@ -15,9 +14,9 @@
 		state: z.enum(['live', 'leaving']),
 		availabilityZone: z.string().min(1),
 		addresses: z.object({
-			callers: address.optional(),
-			peers: address.optional(),
-			operators: address.optional(),
+			callers: hostAndPort.optional(),
+			peers: hostAndPort.optional(),
+			operators: hostAndPort.optional(),
 		}).default({}),
 	})).max(65_536),
 });
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -1,7 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {z} from 'zod';
-
-const hostAndPort = z.string().regex(/^[^\s:]+:\d{1,5}$/v, 'expected host:port');
+import {hostAndPort} from '../shared/address.js';
 
 const addressesSchema = z.strictObject({
 	callers: hostAndPort,
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Clock, Milliseconds} from '../../shared/clock.js';
+import {listen} from '../../shared/listen.js';
 import type {DecisionLog} from '../observability/decision-log.js';
 import type {SocketAddress} from '../settings.js';
 import type {CallerLimits} from '../site/types.js';
@@ -19,6 +20,18 @@
 /** Connections that wait to be accepted. After a start many callers connect at once. */
 const backlog = 1024;
 
+/** Length of the request line and the header fields as they were sent; line ends and separators count. */
+function headerBytesOf({method = '', url = '', rawHeaders}: IncomingMessage): number {
+	const separators = ' '.length + ' HTTP/1.1\r\n'.length;
+	let bytes = method.length + url.length + separators;
+	for (const text of rawHeaders) {
+		// Each name and each value is followed by two characters: a colon and a space, or a line end.
+		bytes += text.length + 2;
+	}
+
+	return bytes;
+}
+
 /** A request that has been read whole. */
 export type ReadRequest = {
 	readonly message: IncomingMessage;
@@ -58,7 +71,8 @@
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			options.log.event('caller-connection-failed', {reason: error.code ?? error.message});
 			if (socket.writable && error.code !== 'ECONNRESET') {
-				socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+				const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
+				socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 			} else {
 				socket.destroy();
 			}
@@ -73,11 +87,7 @@
 
 	/** @throws {Error} when the address can't be bound */
 	async start(): Promise<void> {
-		const {host, port} = this.options.address;
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port, backlog}, resolve);
-		});
+		await listen(this.#server, {...this.options.address, backlog});
 	}
 
 	useLimits(limits: CallerLimits): void {
@@ -119,6 +129,12 @@
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		let hasFailed = false;
+		const fail = (type: 'bodyTooLarge' | 'headersTooLarge') => {
+			hasFailed = true;
+			response.setHeader('connection', 'close');
+			answer.fail({type});
+		};
+
 		let onLeave: (() => void) | undefined;
 		response.on('close', () => {
 			this.#open--;
@@ -134,11 +150,13 @@
 			if (bytes <= this.#limits.bodyBytes) {
 				chunks.push(chunk);
 			} else if (!hasFailed) {
-				hasFailed = true;
-				response.setHeader('connection', 'close');
-				answer.fail({type: 'bodyTooLarge'});
+				fail('bodyTooLarge');
 			}
 		});
+		if (headerBytesOf(message) > this.#limits.headerBytes) {
+			fail('headersTooLarge');
+		}
+
 		message.on('end', () => {
 			if (hasFailed || response.destroyed) {
 				return;
--- a/src/gateway/callers/failures.ts
+++ b/src/gateway/callers/failures.ts
@@ -6,6 +6,7 @@
 	missingRequestId: {status: 400, title: 'The request has no id'},
 	unknownKey: {status: 401, title: 'The key is not known'},
 	unknownRoute: {status: 404, title: 'No route leads there'},
+	headersTooLarge: {status: 431, title: 'The headers are too large'},
 	bodyTooLarge: {status: 413, title: 'The body is too large'},
 	quotaExceeded: {status: 429, title: 'The workspace has used its quota'},
 	noConfiguration: {status: 503, title: 'No configuration is known yet'},
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -176,6 +176,14 @@
 			return runOutcomes.silent;
 		}
 
+		if (end.kind === 'not-sent') {
+			return runOutcomes.cancelled;
+		}
+
+		if (end.kind === 'unreachable') {
+			return runOutcomes.unreachable;
+		}
+
 		if (end.kind !== 'complete' || this.#splitter?.hasPartialEvent === true) {
 			return runOutcomes.broken;
 		}
--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -6,10 +6,11 @@
 	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 };
 
-/** How an exchange ended. `not-sent` is certain: no byte of the request was written. */
+/** How an exchange ended. With `not-sent`, which was decided here, and `unreachable` it is certain that no byte of the request was written. */
 export type ExchangeEnd
 	= | {readonly kind: 'complete'}
 		| {readonly kind: 'not-sent'; readonly error: Error}
+		| {readonly kind: 'unreachable'; readonly error: Error}
 		| {readonly kind: 'broken'; readonly hasHead: boolean; readonly error: Error}
 		| {readonly kind: 'cancelled'; readonly isSent: boolean; readonly error: Error};
 
@@ -45,6 +46,7 @@
 
 	#controller: Dispatcher.DispatchController | undefined;
 	#isSent = false;
+	#isWithheld = false;
 	#hasHead = false;
 	#isEnded = false;
 
@@ -67,6 +69,7 @@
 		}
 
 		if (!this.options.maySend()) {
+			this.#isWithheld = true;
 			controller.abort(new Error('the request may no longer be sent'));
 			return;
 		}
@@ -99,7 +102,11 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
-		this.#end(this.#isSent ? {kind: 'broken', hasHead: this.#hasHead, error} : {kind: 'not-sent', error});
+		if (this.#isSent) {
+			this.#end({kind: 'broken', hasHead: this.#hasHead, error});
+		} else {
+			this.#end({kind: this.#isWithheld ? 'not-sent' : 'unreachable', error});
+		}
 	}
 
 	#end(end: ExchangeEnd): void {
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -236,12 +236,8 @@
 		const outcome = attempt.outcome(end);
 		const now = this.context.clock.now();
 		this.context.onAttemptEnd(outcome);
-		if (outcome === runOutcomes.broken) {
-			// The endpoint may have been restarted and be cold.
-			this.context.scheduler.suspectCold(attempt.endpointId);
-		}
-
-		if (outcome === runOutcomes.rejected || end.kind === 'not-sent') {
+		const isUnsent = end.kind === 'not-sent' || end.kind === 'unreachable';
+		if (outcome === runOutcomes.rejected || isUnsent) {
 			this.#ranAt.delete(attempt.endpointId);
 		}
 
@@ -280,7 +276,7 @@
 	}
 
 	#repeatOrFail(attempt: Attempt, outcome: RunOutcome, end: ExchangeEnd, now: Milliseconds): void {
-		if (end.kind === 'not-sent') {
+		if (end.kind === 'not-sent' || end.kind === 'unreachable') {
 			// It has arrived nowhere, so it needs no budget.
 			this.#submitAgain();
 			return;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -10,6 +10,7 @@
 import {RepeatBudgets} from './limits/repeat-budgets.js';
 import {WorkspaceQuotas} from './limits/workspace-quotas.js';
 import {BeatTask} from './membership/beat-task.js';
+import {PeerAccounting} from './membership/peer-accounting.js';
 import {PeerGroup, type PeerChange} from './membership/peer-group.js';
 import type {Beat} from './membership/types.js';
 import type {DecisionLog} from './observability/decision-log.js';
@@ -61,6 +62,7 @@
 	readonly #site = SiteState.create();
 	readonly #peers: PeerGroup;
 	readonly #quotas: WorkspaceQuotas;
+	readonly #peerAccounting: PeerAccounting;
 	readonly #coldLimits: ColdLimits;
 	readonly #budgets: RepeatBudgets;
 	readonly #freshness: Freshness;
@@ -81,6 +83,7 @@
 		this.#peers = PeerGroup.create(settings.host);
 		this.#peers.useSeeds(settings.seedHosts);
 		this.#quotas = WorkspaceQuotas.create({bounds: settings.bounds, now: this.#startedAt});
+		this.#peerAccounting = PeerAccounting.create(this.#peers, this.#quotas);
 		this.#coldLimits = ColdLimits.create({bounds: settings.bounds, ownHost: settings.host});
 		this.#budgets = RepeatBudgets.create(settings.bounds);
 		this.#freshness = Freshness.create(settings.bounds.revocationMs);
@@ -118,15 +121,14 @@
 			incarnation: randomInt(incarnations),
 			clock,
 			log,
-			content: () => ({runs: this.#schedulers.runs(), usage: this.#quotas.usage()}),
+			content: () => ({runs: this.#schedulers.runs(), usage: this.#quotas.usage(clock.now())}),
 			targets: () => this.#peers.hosts(),
 			presentHosts: () => this.#peers.presentHosts(),
 			onBeat: beat => {
 				this.#onBeat(beat);
 			},
 			onTick: () => {
-				this.#onPeerChanges(this.#peers.expire(clock.now()));
-				this.#quotas.estimatePeers(clock.now());
+				this.#logPeerChanges(this.#peerAccounting.tick(clock.now()));
 			},
 		});
 	}
@@ -287,18 +289,13 @@
 	}
 
 	#onBeat(beat: Beat): void {
-		const now = this.options.clock.now();
-		this.#onPeerChanges(this.#peers.receive(beat, now));
-		this.#quotas.applyPeer(beat.host, beat.incarnation, beat.usage, now);
+		this.#logPeerChanges(this.#peerAccounting.receive(beat, this.options.clock.now()));
 		this.#schedulers.pump();
 	}
 
-	#onPeerChanges(changes: readonly PeerChange[]): void {
+	#logPeerChanges(changes: readonly PeerChange[]): void {
 		for (const {kind, ...fields} of changes) {
 			this.options.log.event(kind, fields);
-			if (kind === 'peer-forgotten') {
-				this.#quotas.forgetPeer(fields.host);
-			}
 		}
 	}
 
--- a/src/gateway/limits/cold-limits.ts
+++ b/src/gateway/limits/cold-limits.ts
@@ -21,37 +21,57 @@
 
 	/** Times of the requests to each endpoint within the window. */
 	readonly #sent = new Map<string, Milliseconds[]>();
+	/** This instance's place in the order of members that holds for each endpoint. */
+	#positions = new Map<string, number>();
+	#rankedMembers: readonly string[] = [];
 
 	private constructor(private readonly bounds: Bounds, private readonly ownHost: string) {}
 
 	/**
 	Requests that this instance may send to an endpoint in one window. Whole requests are dealt to the members in an order that differs for each endpoint, so that the parts sum up to the bound whatever the number of members is.
 
-	@param members hosts of all instances that may send, this one among them
+	@param members hosts of all instances that may send, this one among them; the same array until they change
 	*/
 	part(endpointId: string, coldRequestsPerSecond: number, members: readonly string[]): number {
 		const total = Math.floor(usedPart * ((coldRequestsPerSecond * this.bounds.coldOverage) + this.bounds.coldSlack));
-		const ranked = members
-			.map(host => ({host, rank: hashText(`${endpointId} ${host}`)}))
-			.toSorted((a, b) => (a.rank < b.rank ? -1 : 1));
-		const position = ranked.findIndex(({host}) => host === this.ownHost);
 		const whole = Math.floor(total / members.length);
-		return whole + (position < total % members.length ? 1 : 0);
+		return whole + (this.#position(endpointId, members) < total % members.length ? 1 : 0);
 	}
 
 	hasRoom(endpointId: string, part: number, now: Milliseconds): boolean {
-		const times = (this.#sent.get(endpointId) ?? []).filter(time => now - time < windowMs);
-		return times.length < part;
+		return this.#recent(endpointId, now).length < part;
 	}
 
 	/** Notes a request to an endpoint, cold or not: one that turns cold has had its last requests within the same second. */
 	note(endpointId: string, now: Milliseconds): void {
-		const times = (this.#sent.get(endpointId) ?? []).filter(time => now - time < windowMs);
-		times.push(now);
-		this.#sent.set(endpointId, times);
+		this.#recent(endpointId, now).push(now);
 	}
 
 	forget(endpointId: string): void {
 		this.#sent.delete(endpointId);
+		this.#positions.delete(endpointId);
+	}
+
+	#recent(endpointId: string, now: Milliseconds): Milliseconds[] {
+		const times = (this.#sent.get(endpointId) ?? []).filter(time => now - time < windowMs);
+		this.#sent.set(endpointId, times);
+		return times;
+	}
+
+	/** Kept until the members change, because it is asked for each candidate of each request. */
+	#position(endpointId: string, members: readonly string[]): number {
+		if (members !== this.#rankedMembers) {
+			this.#rankedMembers = members;
+			this.#positions = new Map();
+		}
+
+		let position = this.#positions.get(endpointId);
+		if (position === undefined) {
+			const ownRank = hashText(`${endpointId} ${this.ownHost}`);
+			position = members.filter(host => host !== this.ownHost && hashText(`${endpointId} ${host}`) < ownRank).length;
+			this.#positions.set(endpointId, position);
+		}
+
+		return position;
 	}
 }
--- a/src/gateway/limits/workspace-quotas.ts
+++ b/src/gateway/limits/workspace-quotas.ts
@@ -42,7 +42,6 @@
 };
 
 type Bucket = {
-	readonly quota: Quota;
 	/** The quota's rate and burst with the part of the tolerated overage. */
 	readonly perSecond: number;
 	readonly burst: number;
@@ -89,7 +88,7 @@
 
 			const limits = this.#limits(quota);
 			this.#buckets.set(name, {
-				quota, ...limits, level: Math.min(bucket?.level ?? 0, limits.burst), updatedAt: bucket?.updatedAt ?? this.startedAt, isAdopted: bucket?.isAdopted ?? false,
+				...limits, level: Math.min(bucket?.level ?? 0, limits.burst), updatedAt: bucket?.updatedAt ?? this.startedAt, isAdopted: bucket?.isAdopted ?? false,
 			});
 		}
 
@@ -128,8 +127,11 @@
 	}
 
 	/** Units that this process has used since its start, and what it believes is left. */
-	usage(): WorkspaceUsage[] {
-		return [...this.#buckets].map(([workspace, {level}]) => [workspace, this.#ownUnits.get(workspace) ?? 0, level]);
+	usage(now: Milliseconds): WorkspaceUsage[] {
+		return [...this.#buckets].map(([workspace, bucket]) => {
+			this.#refill(bucket, now);
+			return [workspace, this.#ownUnits.get(workspace) ?? 0, bucket.level];
+		});
 	}
 
 	/** Takes what a peer has used since its last beat. */
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -50,7 +50,7 @@
 		fields: {instance: settings.instanceName},
 	});
 	const log = DecisionLog.create(logger, clock);
-	const source = StoreClient.create(settings.store.address);
+	const source = StoreClient.create(settings.storeAddress);
 	const gateway = GatewayProcess.create({
 		settings, clock, log, protocol: platformProtocol, source,
 	});
--- /dev/null
+++ b/src/gateway/membership/peer-accounting.ts
@@ -0,0 +1,40 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import type {WorkspaceQuotas} from '../limits/workspace-quotas.js';
+import type {PeerChange, PeerGroup} from './peer-group.js';
+import type {Beat} from './types.js';
+
+/** Keeps the group of peers and what they use of the workspaces' quotas in step. */
+export class PeerAccounting {
+	static create(peers: PeerGroup, quotas: WorkspaceQuotas): PeerAccounting {
+		return new PeerAccounting(peers, quotas);
+	}
+
+	private constructor(private readonly peers: PeerGroup, private readonly quotas: WorkspaceQuotas) {}
+
+	receive(beat: Beat, now: Milliseconds): PeerChange[] {
+		// A beat that was overtaken holds older totals; taking it over would count the units since then twice.
+		if (!this.peers.isNews(beat)) {
+			return [];
+		}
+
+		this.quotas.applyPeer(beat.host, beat.incarnation, beat.usage, now);
+		return this.#forgetRemoved(this.peers.receive(beat, now));
+	}
+
+	tick(now: Milliseconds): PeerChange[] {
+		const changes = this.#forgetRemoved(this.peers.expire(now));
+		this.quotas.estimatePeers(now);
+		return changes;
+	}
+
+	/** A peer that is gone uses nothing more, so its even part must not be held back for it. */
+	#forgetRemoved(changes: PeerChange[]): PeerChange[] {
+		for (const {kind, host} of changes) {
+			if (kind === 'peer-left' || kind === 'peer-forgotten') {
+				this.quotas.forgetPeer(host);
+			}
+		}
+
+		return changes;
+	}
+}
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -29,6 +29,7 @@
 	/** Hosts that were named but not heard, with the time until which they are tried. */
 	readonly #candidates = new Map<string, Milliseconds>();
 	#seeds: readonly string[] = [];
+	#members: readonly string[] | undefined;
 
 	private constructor(private readonly ownHost: string) {}
 
@@ -41,17 +42,19 @@
 		this.#seeds = hosts.filter(host => host !== this.ownHost);
 	}
 
-	/** Takes over a beat; one that was overtaken by a later one is ignored. */
+	/** Whether a beat comes from another instance and was not overtaken by a later one. */
+	isNews(beat: Beat): boolean {
+		const known = this.#peers.get(beat.host);
+		return beat.host !== this.ownHost && !(known?.incarnation === beat.incarnation && beat.sequence <= known.sequence);
+	}
+
+	/** Takes over a beat that is news; others are ignored. */
 	receive(beat: Beat, now: Milliseconds): PeerChange[] {
-		if (beat.host === this.ownHost) {
+		if (!this.isNews(beat)) {
 			return [];
 		}
 
 		const known = this.#peers.get(beat.host);
-		if (known?.incarnation === beat.incarnation && beat.sequence <= known.sequence) {
-			return [];
-		}
-
 		if (beat.isLeaving) {
 			return this.#remove(beat.host) ? [{kind: 'peer-left', host: beat.host}] : [];
 		}
@@ -71,6 +74,7 @@
 
 		const wasSilent = this.#silent.delete(beat.host);
 		if (known === undefined) {
+			this.#members = undefined;
 			return [{kind: 'peer-joined', host: beat.host, incarnation: beat.incarnation}];
 		}
 
@@ -110,9 +114,10 @@
 		return new Set([...this.#peers.keys(), ...this.#candidates.keys(), ...this.#seeds]);
 	}
 
-	/** Hosts that are not forgotten, sorted, this one among them. */
-	members(): string[] {
-		return [...this.#peers.keys(), this.ownHost].toSorted();
+	/** Hosts that are not forgotten, sorted, this one among them. The array is the same until they change. */
+	members(): readonly string[] {
+		this.#members ??= [...this.#peers.keys(), this.ownHost].toSorted();
+		return this.#members;
 	}
 
 	/** Requests that the present peers have under way at an endpoint. */
@@ -140,6 +145,7 @@
 
 	#remove(host: string): boolean {
 		this.#silent.delete(host);
+		this.#members = undefined;
 		return this.#peers.delete(host);
 	}
 }
--- a/src/gateway/observability/page-server.ts
+++ b/src/gateway/observability/page-server.ts
@@ -1,6 +1,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {listen} from '../../shared/listen.js';
 import type {SocketAddress} from '../settings.js';
 
 export type PageResponse = {
@@ -25,10 +26,7 @@
 
 	/** @throws {Error} when the address can't be bound */
 	async start(): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(this.address.port, this.address.host, resolve);
-		});
+		await listen(this.#server, this.address);
 	}
 
 	async dispose(): Promise<void> {
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -18,6 +18,12 @@
 /** Share of failed requests from which an endpoint is used only when no other has room. Sound ones fail up to 14 in 100. */
 const failingShare = 0.4;
 
+/** Time within which requests that break off count as broken by one event. A crash resets all connections at once; 200 ms cover a lost packet. */
+const togetherMs: Milliseconds = 200;
+
+/** Requests that must break off together to show a restart. One alone may have lost only its answer. */
+const restartBreaks = 2;
+
 /** How one request at an endpoint ended, for what is learnt of the endpoint. */
 export const runOutcomes = {
 	completed: 'completed',
@@ -25,8 +31,10 @@
 	failed: 'failed',
 	/** The endpoint said that it did not run the request. */
 	rejected: 'rejected',
-	/** No connection, or it ended early. */
+	/** The connection ended early, or the answer was not the endpoint's own. */
 	broken: 'broken',
+	/** No connection could be opened. */
+	unreachable: 'unreachable',
 	/** It gave no sign of life in time. */
 	silent: 'silent',
 	/** The caller left, or the request was taken back. */
@@ -49,6 +57,8 @@
 	#failures = 0;
 	#failedShare = 0;
 	#pausedUntil: Milliseconds = -Infinity;
+	#breaks = 0;
+	#brokenAt: Milliseconds = -Infinity;
 
 	private constructor(record: EndpointRecord, now: Milliseconds) {
 		this.record = record;
@@ -107,8 +117,11 @@
 		this.#running++;
 	}
 
-	/** @param eventMs mean time between the events of the stream, if it had enough of them */
-	ended(outcome: RunOutcome, now: Milliseconds, eventMs?: number): void {
+	/**
+	@param eventMs mean time between the events of the stream, if it had enough of them
+	@returns whether the endpoint may have been restarted
+	*/
+	ended(outcome: RunOutcome, now: Milliseconds, eventMs?: number): boolean {
 		this.#running--;
 		if (eventMs !== undefined) {
 			this.#eventMs = this.#hasEventTime ? this.#eventMs + (eventWeight * (eventMs - this.#eventMs)) : eventMs;
@@ -116,16 +129,29 @@
 		}
 
 		if (outcome === runOutcomes.cancelled || outcome === runOutcomes.rejected) {
-			return;
+			return false;
 		}
 
 		const hasFailed = outcome !== runOutcomes.completed;
 		this.#failedShare += failureWeight * ((hasFailed ? 1 : 0) - this.#failedShare);
-		if (outcome === runOutcomes.broken || outcome === runOutcomes.silent) {
+		if (outcome === runOutcomes.completed || outcome === runOutcomes.failed) {
+			this.#failures = 0;
+		} else {
 			this.#failures++;
 			this.#pausedUntil = now + Math.min(firstPauseMs * (2 ** (this.#failures - 1)), longestPauseMs);
-		} else {
-			this.#failures = 0;
 		}
+
+		return this.#mayBeRestarted(outcome, now);
+	}
+
+	/** A crash closes the port and resets every connection. Where other requests go on, only an answer was lost. */
+	#mayBeRestarted(outcome: RunOutcome, now: Milliseconds): boolean {
+		if (outcome !== runOutcomes.broken) {
+			return outcome === runOutcomes.unreachable;
+		}
+
+		this.#breaks = now - this.#brokenAt > togetherMs ? 1 : this.#breaks + 1;
+		this.#brokenAt = now;
+		return this.#running === 0 && this.#breaks >= restartBreaks;
 	}
 }
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -118,7 +118,10 @@
 	ended(endpointId: string, outcome: RunOutcome, eventMs?: Milliseconds): void {
 		const now = this.options.clock.now();
 		const load = this.#loads.get(endpointId) ?? this.#leaving.get(endpointId);
-		load?.ended(outcome, now, eventMs);
+		if (load?.ended(outcome, now, eventMs) === true && this.#service.coldRequestsPerSecond > 0) {
+			load.suspectCold(now + this.#service.coldStartMs);
+		}
+
 		if (load?.running === 0) {
 			this.#leaving.delete(endpointId);
 		}
@@ -126,13 +129,6 @@
 		this.pump();
 	}
 
-	/** Takes an endpoint to be cold because it may have been restarted. */
-	suspectCold(endpointId: string): void {
-		if (this.#service.coldRequestsPerSecond > 0) {
-			this.#loads.get(endpointId)?.suspectCold(this.options.clock.now() + this.#service.coldStartMs);
-		}
-	}
-
 	/** Gives out all places that are free. */
 	pump(): void {
 		if (this.#line.size > 0) {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -7,10 +7,6 @@
 
 /** Limits that the deployment promises; the units are in the names. */
 export type Bounds = {
-	/** Time without trouble after which an instance counts as in touch with the platform. */
-	readonly contactMs: Milliseconds;
-	/** Time after which an endpoint that is leaving may get no new request. */
-	readonly leavingMs: Milliseconds;
 	/** Time between the request to stop and the kill. */
 	readonly stopMs: Milliseconds;
 	/** Time after which a removed key may not be served by any instance. */
@@ -44,7 +40,6 @@
 	readonly isFirstStart: boolean;
 	readonly callerAddress: SocketAddress;
 	readonly readinessAddress: SocketAddress;
-	readonly maximumDescriptors: number;
-	readonly store: {readonly address: SocketAddress; readonly readsPerSecond: number};
+	readonly storeAddress: SocketAddress;
 	readonly bounds: Bounds;
 };
--- a/src/gateway/site/route-table.ts
+++ b/src/gateway/site/route-table.ts
@@ -53,10 +53,6 @@
 		return this.#services.values();
 	}
 
-	workspace(name: string): Workspace | undefined {
-		return this.#workspaces.get(name);
-	}
-
 	workspaces(): Iterable<Workspace> {
 		return this.#workspaces.values();
 	}
--- a/src/gateway/site/types.ts
+++ b/src/gateway/site/types.ts
@@ -43,8 +43,6 @@
 	readonly coldStartMs: Milliseconds;
 	/** Requests a second that a cold endpoint bears; 0 when the service has no cold start. */
 	readonly coldRequestsPerSecond: number;
-	/** Whether its endpoints are language engines. */
-	readonly isEngine: boolean;
 };
 
 export const quotaUnits = {
--- a/test/gateway/callers/caller-server.test.ts
+++ b/test/gateway/callers/caller-server.test.ts
@@ -53,6 +53,22 @@
 	t.deepEqual(endpoint.seen, []);
 });
 
+for (const [what, bytes] of [['beyond the configured limit', 16_400], ['beyond what the server reads', 70_000]] as const) {
+	test(`headers ${what} are answered with 431, and the request reaches no endpoint`, async t => {
+		const {endpoint, gateway} = await startSite(t);
+		const text = `GET /lookups/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: r\r\nAuthorization: Bearer key-wick\r\nX-Filler: ${'f'.repeat(bytes)}\r\n\r\n`;
+		t.regex(await exchange(gateway, text), /^HTTP\/1\.1 431 /v);
+		t.deepEqual(endpoint.seen, []);
+	});
+}
+
+test('headers up to the configured limit are accepted', async t => {
+	const {gateway} = await startSite(t);
+	// An unknown key shows that the request was read; a whole request would exceed what the stand-in of the endpoint accepts.
+	const head = 'GET /lookups/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: r\r\nAuthorization: Bearer unknown\r\nX-Filler: ';
+	t.regex(await exchange(gateway, `${head}${'f'.repeat(16_384 - head.length - 4)}\r\n\r\n`), /^HTTP\/1\.1 401 /v);
+});
+
 test('a chunked body arrives whole', async t => {
 	const {endpoint, gateway} = await startSite(t);
 	await exchange(gateway, 'POST /bookings/1 HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: r\r\nAuthorization: Bearer key-wick\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n');
--- a/test/gateway/forwarding/exchange.test.ts
+++ b/test/gateway/forwarding/exchange.test.ts
@@ -81,7 +81,7 @@
 	t.is(end.kind, 'not-sent');
 });
 
-test('a request to a port without a listener is not sent', async t => {
+test('an endpoint without a listener is unreachable, so the request is not sent', async t => {
 	const probe = createServer();
 	await new Promise<void>(resolve => {
 		probe.listen(0, '127.0.0.1', resolve);
@@ -91,5 +91,5 @@
 	const connections = EndpointConnections.create(`127.0.0.1:${port}`, SystemClock.create(), () => undefined);
 	t.teardown(async () => connections.dispose());
 	const end = await send({connections, socket: () => connect(port)}, () => undefined);
-	t.is(end.kind, 'not-sent');
+	t.is(end.kind, 'unreachable');
 });
--- a/test/gateway/limits/workspace-quotas.test.ts
+++ b/test/gateway/limits/workspace-quotas.test.ts
@@ -54,7 +54,7 @@
 	const restarted = WorkspaceQuotas.create({bounds, now: 20_000});
 	restarted.configure(workspaces, 20_000);
 	t.false(restarted.take('wick', 50_000, 20_010).isTaken);
-	restarted.applyPeer('old', 1, old.usage(), 20_020);
+	restarted.applyPeer('old', 1, old.usage(20_020), 20_020);
 	t.true(restarted.take('wick', 50_000, 20_020).isTaken);
 });
 
@@ -63,7 +63,7 @@
 	quotas.configure(workspaces, 0);
 	quotas.take('wick', 1000, 1000);
 	quotas.giveBack('wick', 1000);
-	t.like(quotas.usage(), [['wick', 0]]);
+	t.like(quotas.usage(0), [['wick', 0]]);
 });
 
 test('a quota that is lowered binds at once, and one that goes is no limit', t => {
@@ -192,7 +192,7 @@
 		for (const [index, sender] of this.#members.entries()) {
 			for (const receiver of hearing.includes(sender) ? hearing : []) {
 				if (receiver !== sender) {
-					receiver.quotas.applyPeer(String(index), sender.incarnation, sender.quotas.usage(), now);
+					receiver.quotas.applyPeer(String(index), sender.incarnation, sender.quotas.usage(now), now);
 				}
 			}
 		}
@@ -226,7 +226,7 @@
 
 			for (const other of quotas) {
 				if (other !== one) {
-					other.applyPeer(String(index), 1, one.usage(), now);
+					other.applyPeer(String(index), 1, one.usage(now), now);
 				}
 			}
 		}
--- /dev/null
+++ b/test/gateway/membership/peer-accounting.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava';
+import {WorkspaceQuotas} from '../../../src/gateway/limits/workspace-quotas.js';
+import {PeerAccounting} from '../../../src/gateway/membership/peer-accounting.js';
+import {PeerGroup} from '../../../src/gateway/membership/peer-group.js';
+import {createBeat} from '../../fixtures/gateway/beat.js';
+import {bounds, createWorkspace} from '../../fixtures/gateway/documents.js';
+
+const quota = {
+	unit: 'tokens', perSecond: 100_000, burst: 100_000, defaultTokens: 200,
+} as const;
+
+/** An instance that has run long enough to have a full bucket. */
+function createInstance() {
+	const quotas = WorkspaceQuotas.create({bounds, now: 0});
+	quotas.configure([createWorkspace({quota})], 0);
+	const accounting = PeerAccounting.create(PeerGroup.create('10.0.0.1'), quotas);
+	accounting.tick(20_000);
+	return {quotas, accounting};
+}
+
+function levelOf(quotas: WorkspaceQuotas, now: number): number {
+	return quotas.usage(now)[0]![2];
+}
+
+/** Lets ticks of 100 ms pass without any beat. */
+function passTime(accounting: PeerAccounting, from: number, to: number): void {
+	for (let now = from; now <= to; now += 100) {
+		accounting.tick(now);
+	}
+}
+
+test('a peer that has left holds no part of a quota', t => {
+	const {quotas, accounting} = createInstance();
+	accounting.receive(createBeat({usage: [['wick', 0, 0]]}), 20_000);
+	accounting.receive(createBeat({sequence: 2, isLeaving: true, usage: [['wick', 0, 0]]}), 20_100);
+	const full = levelOf(quotas, 20_100);
+	passTime(accounting, 20_200, 26_000);
+	quotas.take('wick', full, 26_000);
+	passTime(accounting, 26_000, 27_000);
+	const refilledAfterLeaving = levelOf(quotas, 27_000);
+
+	const alone = createInstance();
+	passTime(alone.accounting, 20_200, 26_000);
+	alone.quotas.take('wick', full, 26_000);
+	passTime(alone.accounting, 26_000, 27_000);
+	t.is(refilledAfterLeaving, levelOf(alone.quotas, 27_000));
+});
+
+test('a silent peer keeps its even part until it is forgotten', t => {
+	const {quotas, accounting} = createInstance();
+	accounting.receive(createBeat({usage: [['wick', 0, 0]]}), 20_000);
+	passTime(accounting, 20_100, 26_000);
+	quotas.take('wick', levelOf(quotas, 26_000), 26_000);
+	passTime(accounting, 26_000, 26_500);
+	const withSilentPeer = levelOf(quotas, 26_500);
+	passTime(accounting, 50_100, 60_000);
+	quotas.take('wick', levelOf(quotas, 60_000), 60_000);
+	passTime(accounting, 60_000, 60_500);
+	t.true(levelOf(quotas, 60_500) > 1.9 * withSilentPeer);
+});
+
+test('a beat that was overtaken by a later one is not counted', t => {
+	const {quotas, accounting} = createInstance();
+	accounting.receive(createBeat({sequence: 1, usage: [['wick', 10_000, 0]]}), 20_000);
+	accounting.receive(createBeat({sequence: 3, usage: [['wick', 40_000, 0]]}), 20_000);
+	const level = levelOf(quotas, 20_000);
+	accounting.receive(createBeat({sequence: 2, usage: [['wick', 20_000, 0]]}), 20_000);
+	accounting.receive(createBeat({sequence: 4, usage: [['wick', 40_000, 0]]}), 20_000);
+	t.is(levelOf(quotas, 20_000), level);
+});
+
+test('a peer that leaves is charged with what it used since its last beat', t => {
+	const {quotas, accounting} = createInstance();
+	accounting.receive(createBeat({usage: [['wick', 0, 0]]}), 20_000);
+	const level = levelOf(quotas, 20_000);
+	accounting.receive(createBeat({sequence: 2, isLeaving: true, usage: [['wick', 30_000, 0]]}), 20_000);
+	t.is(levelOf(quotas, 20_000), level - 30_000);
+});
--- a/test/gateway/membership/peer-group.test.ts
+++ b/test/gateway/membership/peer-group.test.ts
@@ -1,12 +1,6 @@
 import test from 'ava';
 import {PeerGroup} from '../../../src/gateway/membership/peer-group.js';
-import type {Beat} from '../../../src/gateway/membership/types.js';
-
-function createBeat(values: Partial<Beat> = {}): Beat {
-	return {
-		host: '10.0.0.2', availabilityZone: 'a', incarnation: 1, sequence: 1, isLeaving: false, runs: [], usage: [], knownHosts: [], ...values,
-	};
-}
+import {createBeat} from '../../fixtures/gateway/beat.js';
 
 test('finds others through seeds and through hosts that peers name', t => {
 	const group = PeerGroup.create('10.0.0.1');
--- a/test/gateway/scheduling/endpoint-load.test.ts
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava';
-import {EndpointLoad} from '../../../src/gateway/scheduling/endpoint-load.js';
+import {EndpointLoad, type RunOutcome} from '../../../src/gateway/scheduling/endpoint-load.js';
 import {createEndpoint} from '../../fixtures/gateway/documents.js';
 
 function createLoad(values = {}): EndpointLoad {
@@ -66,3 +66,28 @@
 	t.false(load.isPaused(110));
 	t.true(load.isCold(110));
 });
+
+/** Begins so many requests and ends some of them, the way and at the times given. */
+function lastMayBeRestarted(begun: number, ends: ReadonlyArray<readonly [outcome: RunOutcome, at: number]>): boolean {
+	const load = createLoad();
+	for (let request = 0; request < begun; request++) {
+		load.began();
+	}
+
+	return ends.map(([outcome, at]) => load.ended(outcome, at)).at(-1)!;
+}
+
+const restarts: Array<[string, number, ReadonlyArray<readonly [RunOutcome, number]>, boolean]> = [
+	['all requests break off together', 3, [['broken', 0], ['broken', 1], ['broken', 2]], true],
+	['no connection can be opened', 3, [['unreachable', 0]], true],
+	['one answer is lost while others go on', 3, [['broken', 0]], false],
+	['the answer of the only request is lost', 1, [['broken', 0]], false],
+	['answers are lost one by one', 2, [['broken', 0], ['broken', 1000]], false],
+	['the last request is completed', 2, [['broken', 0], ['completed', 1]], false],
+];
+
+for (const [what, begun, ends, expected] of restarts) {
+	test(`${expected ? 'it may have been restarted' : 'it has not been restarted'} when ${what}`, t => {
+		t.is(lastMayBeRestarted(begun, ends), expected);
+	});
+}
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -103,7 +103,16 @@
 
 test('an endpoint that may have been restarted counts as cold', t => {
 	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 100})], members: ['own', 'b', 'c']});
-	scheduler.suspectCold('engine-1');
+	const first = [0, 1].map(() => request(clock));
+	for (const each of first) {
+		scheduler.submit(each);
+	}
+
+	for (const _each of first) {
+		scheduler.ended('engine-1', 'broken');
+	}
+
+	clock.advance(1500);
 	const requests = Array.from({length: 50}, () => request(clock));
 	for (const each of requests) {
 		scheduler.submit(each);
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -42,9 +42,9 @@
 	t.like(decoded.routes[1], {kind: 'streaming', isResumable: true, allowsAnonymous: true});
 	t.deepEqual(decoded.routes[1]?.targets, [{service: 'x', weight: 90}, {service: 'y', weight: 10}]);
 	t.like(decoded.services[0], {
-		isEngine: true, coldStartMs: 3000, coldRequestsPerSecond: 23, maximumConnections: 490,
+		coldStartMs: 3000, coldRequestsPerSecond: 23, maximumConnections: 490,
 	});
-	t.like(decoded.services[1], {isEngine: false, coldRequestsPerSecond: 0});
+	t.like(decoded.services[1], {coldRequestsPerSecond: 0});
 	t.like(decoded.limits, {
 		headerBytes: 1, bodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4,
 	});
