Keep the sum of the peers' requests by endpoint

Cause: each look at an endpoint added up the requests of all peers, so a request cost endpoints times instances.

Change: PeerGroup keeps the sums and corrects them with each beat.

--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -26,6 +26,8 @@
 
 	readonly #peers = new Map<string, Peer>();
 	readonly #silent = new Set<string>();
+	/** Requests of all present peers by endpoint; kept up to date because it is asked for each candidate of each request. */
+	readonly #runs = new Map<string, number>();
 	/** Hosts that were named but not heard, with the time until which they are tried. */
 	readonly #candidates = new Map<string, Milliseconds>();
 	#seeds: readonly string[] = [];
@@ -60,14 +62,20 @@
 		}
 
 		this.#candidates.delete(beat.host);
-		this.#peers.set(beat.host, {
+		if (known !== undefined && !this.#silent.has(beat.host)) {
+			this.#count(known, -1);
+		}
+
+		const peer: Peer = {
 			host: beat.host,
 			availabilityZone: beat.availabilityZone,
 			incarnation: beat.incarnation,
 			sequence: beat.sequence,
 			heardAt: now,
-			runs: new Map(beat.runs),
-		});
+			runs: beat.runs,
+		};
+		this.#peers.set(beat.host, peer);
+		this.#count(peer, 1);
 		for (const host of beat.knownHosts) {
 			this.#propose(host, now);
 		}
@@ -96,6 +104,7 @@
 				changes.push({kind: 'peer-forgotten', host: peer.host});
 			} else if (silentMs > presentForMs && !this.#silent.has(peer.host)) {
 				this.#silent.add(peer.host);
+				this.#count(peer, -1);
 				changes.push({kind: 'peer-silent', host: peer.host, silentMs});
 			}
 		}
@@ -122,14 +131,7 @@
 
 	/** Requests that the present peers have under way at an endpoint. */
 	runsAt(endpointId: string): number {
-		let running = 0;
-		for (const peer of this.#peers.values()) {
-			if (!this.#silent.has(peer.host)) {
-				running += peer.runs.get(endpointId) ?? 0;
-			}
-		}
-
-		return running;
+		return this.#runs.get(endpointId) ?? 0;
 	}
 
 	/** Hosts of peers that are heard at present. */
@@ -144,8 +146,28 @@
 	}
 
 	#remove(host: string): boolean {
-		this.#silent.delete(host);
+		const peer = this.#peers.get(host);
+		if (peer === undefined) {
+			return false;
+		}
+
+		if (!this.#silent.delete(host)) {
+			this.#count(peer, -1);
+		}
+
 		this.#members = undefined;
 		return this.#peers.delete(host);
 	}
+
+	/** Adds a peer's requests to the sums, or takes them away. */
+	#count({runs}: Peer, sign: 1 | -1): void {
+		for (const [endpointId, running] of runs) {
+			const sum = (this.#runs.get(endpointId) ?? 0) + (sign * running);
+			if (sum === 0) {
+				this.#runs.delete(endpointId);
+			} else {
+				this.#runs.set(endpointId, sum);
+			}
+		}
+	}
 }
--- a/src/gateway/membership/types.ts
+++ b/src/gateway/membership/types.ts
@@ -29,5 +29,5 @@
 	readonly incarnation: number;
 	readonly sequence: number;
 	readonly heardAt: Milliseconds;
-	readonly runs: ReadonlyMap<string, number>;
+	readonly runs: readonly EndpointRuns[];
 };
--- a/test/gateway/membership/peer-group.test.ts
+++ b/test/gateway/membership/peer-group.test.ts
@@ -54,3 +54,21 @@
 	group.expire(62_000);
 	t.false(group.hosts().has('10.0.0.2'));
 });
+
+test('sums follow peers that fall silent, return, restart and leave', t => {
+	const group = PeerGroup.create('10.0.0.1');
+	group.receive(createBeat({runs: [['e1', 3]]}), 0);
+	group.receive(createBeat({host: '10.0.0.3', runs: [['e1', 4]]}), 0);
+	group.receive(createBeat({host: '10.0.0.3', sequence: 2, runs: [['e1', 5]]}), 1900);
+	group.expire(2000);
+	t.is(group.runsAt('e1'), 5, 'the first has fallen silent');
+	group.receive(createBeat({sequence: 2, runs: [['e1', 2]]}), 2100);
+	t.is(group.runsAt('e1'), 7, 'it has returned');
+	group.receive(createBeat({incarnation: 2, runs: [['e1', 1]]}), 2200);
+	t.is(group.runsAt('e1'), 6, 'it has been restarted');
+	group.receive(createBeat({incarnation: 2, sequence: 2, isLeaving: true}), 2300);
+	t.is(group.runsAt('e1'), 5, 'it has left');
+	group.expire(4000);
+	group.expire(40_000);
+	t.is(group.runsAt('e1'), 0, 'the other is forgotten');
+});
