Add a fault soak of the gateway, and handle SIGHUP while the program loads

The signal for changed settings reached it while it was still loading, and without a handler the signal ends a process.

The documents of the platform's stand-ins and the random source have one copy each.

Ruled out: the store being away; the log of the instance has no line after the stop of the process before it.

Tests: each check has a history that breaks its promise and one that keeps it.

--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,167 @@
+import {readFile} from 'node:fs/promises';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Milliseconds} from '../src/shared/clock.js';
+import type {ProxyFault} from '../standins/fault-proxy.js';
+import {endpointFaults} from '../standins/platform-endpoint.js';
+import type {RandomSource} from '../standins/random-source.js';
+import type {Disturbance} from './history.js';
+import {availabilityZones, type Instance, type SoakSite} from './site.js';
+
+/** Endpoints of a service that must stay while one of them leaves or restarts. */
+const remainingEndpoints = 1;
+
+/** Time after the restart of an instance in which its callers may still meet its closed connections. */
+const settleMs: Milliseconds = 500;
+
+/** Faults of single requests that an endpoint plays at once. */
+const requestFaults = 4;
+
+type Fault = (site: SoakSite, random: RandomSource) => Promise<void>;
+
+/** Notes a fault for as long as it lasts. */
+async function disturb(site: SoakSite, values: Omit<Disturbance, 'at' | 'until'>, during: () => Promise<void>): Promise<void> {
+	const disturbance: Disturbance = {...values, at: performance.now(), until: Infinity};
+	site.disturbances.push(disturbance);
+	await during();
+	disturbance.until = performance.now();
+}
+
+/** Holds some free instances for a fault of their processes. */
+async function holding(instances: readonly Instance[], during: (instance: Instance) => Promise<void>): Promise<void> {
+	const free = instances.filter(({isHeld}) => !isHeld);
+	await Promise.all(free.map(async instance => {
+		instance.isHeld = true;
+		await during(instance);
+		instance.isHeld = false;
+	}));
+}
+
+async function killAndStart(site: SoakSite, instance: Instance, downMs: Milliseconds): Promise<void> {
+	await disturb(site, {kind: 'killed', instance: instance.host}, async () => {
+		await instance.process.kill();
+		await delay(downMs);
+		await site.startAgain(instance);
+		await delay(settleMs);
+	});
+}
+
+async function faultOfStore(site: SoakSite, instances: readonly Instance[], fault: ProxyFault, durationMs: Milliseconds): Promise<void> {
+	await Promise.all(instances.map(async ({host, storeProxy}) => disturb(site, {kind: 'store', instance: host}, async () => {
+		storeProxy.setFault(fault);
+		await delay(durationMs);
+		storeProxy.pass();
+	})));
+}
+
+function storeFaults(random: RandomSource): ProxyFault {
+	return random.pick<ProxyFault>([{isCut: true}, {blackHole: 'both'}, {blackHole: 'backward'}, {delayMilliseconds: random.integer(100, 700)}])!;
+}
+
+/** Whether a process has a handler for SIGHUP, which is the first bit of its caught signals. */
+async function catchesHangUp(pid: number | undefined): Promise<boolean> {
+	try {
+		const status = await readFile(`/proc/${pid}/status`, 'utf8');
+		return /^SigCgt:.*[13579bdf]$/mv.test(status);
+	} catch {
+		// It has just ended.
+		return false;
+	}
+}
+
+/** Endpoints that may be taken away without leaving their service empty. */
+function spareEndpoints(site: SoakSite) {
+	return site.endpoints.filter(({service, isBusy}) => !isBusy && site.endpoints.filter(other => other.service === service && !other.isBusy).length > remainingEndpoints);
+}
+
+/** Planned work: it may not cost any caller an answer. */
+export const plannedFaults = {
+	async stop(site, random) {
+		await holding([random.pick(site.instances)!], async instance => site.stopAndStart(instance));
+	},
+	async hangUp(site, random) {
+		const {process: child} = random.pick(site.instances)!;
+		// Before the runtime itself has started no program can handle a signal.
+		if (await catchesHangUp(child.pid)) {
+			child.signal('SIGHUP');
+		}
+	},
+	async moveLookups(site) {
+		site.moveLookups();
+	},
+	async revokeKey(site) {
+		site.revokeKey();
+	},
+	async configureTwice(site) {
+		site.configure();
+		site.configure();
+	},
+	async drain(site, random) {
+		const slot = random.pick(spareEndpoints(site));
+		if (slot !== undefined) {
+			await site.drain(slot);
+		}
+	},
+	async evacuate(site, random) {
+		if (!site.events.some(event => event.kind === 'zone-evacuated' && event.until === Infinity)) {
+			await site.evacuate(random.pick(availabilityZones)!, random.integer(4000, 9000));
+		}
+	},
+} as const satisfies Record<string, Fault>;
+
+/** Unplanned faults of processes, connections and endpoints. */
+export const unplannedFaults = {
+	async kill(site, random) {
+		const downMs = random.integer(0, 1500);
+		await holding([random.pick(site.instances)!], async instance => killAndStart(site, instance, downMs));
+	},
+	async killAll(site, random) {
+		if (random.chance(30)) {
+			await holding(site.instances, async instance => killAndStart(site, instance, 200));
+		}
+	},
+	async freeze(site, random) {
+		const durationMs = random.integer(300, 6000);
+		await holding([random.pick(site.instances)!], async instance => disturb(site, {kind: 'frozen', instance: instance.host}, async () => {
+			instance.process.freeze();
+			await delay(durationMs);
+			instance.process.wake();
+		}));
+	},
+	async storeOfOne(site, random) {
+		await faultOfStore(site, [random.pick(site.instances)!], storeFaults(random), random.integer(500, 8000));
+	},
+	async storeOfAll(site, random) {
+		await faultOfStore(site, site.instances, storeFaults(random), random.integer(500, 5000));
+	},
+	async endpointConnections(site, random) {
+		const {proxy} = random.pick(site.endpoints)!;
+		const fault = random.pick<ProxyFault>([{isCut: true}, {blackHole: 'both'}, {blackHole: 'backward'}, {delayMilliseconds: random.integer(50, 500)}])!;
+		await disturb(site, {kind: 'endpoint-connections'}, async () => {
+			proxy.setFault(fault);
+			await delay(random.integer(200, 2500));
+			proxy.pass();
+		});
+	},
+	async resetEndpointConnections(site, random) {
+		await disturb(site, {kind: 'endpoint-resets'}, async () => {
+			random.pick(site.endpoints)!.proxy.cutOnce();
+		});
+	},
+	async endpointAnswers(site, random) {
+		await disturb(site, {kind: 'endpoint-answers'}, async () => {
+			const {endpoint} = random.pick(site.endpoints)!;
+			for (let count = 0; count < requestFaults; count++) {
+				endpoint.faults.push(random.pick(Object.values(endpointFaults))!);
+			}
+
+			await delay(1000);
+		});
+	},
+	async restartEndpoint(site, random) {
+		const slot = random.pick(spareEndpoints(site));
+		if (slot !== undefined) {
+			await disturb(site, {kind: 'endpoint-restart'}, async () => site.restart(slot, random.integer(0, 2000)));
+		}
+	},
+} as const satisfies Record<string, Fault>;
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,53 @@
+#!/usr/bin/env node
+import {randomInt} from 'node:crypto';
+import {mkdir, rm} from 'node:fs/promises';
+import process from 'node:process';
+import {Command, InvalidArgumentError} from 'commander';
+import {soak} from './soak.js';
+
+const millisecondsPerMinute = 60_000;
+
+const exitCodes = {kept: 0, violated: 1} as const;
+
+function parsePositive(value: string): number {
+	const number = Number(value);
+	if (!(number > 0)) {
+		throw new InvalidArgumentError('expected a number above 0');
+	}
+
+	return number;
+}
+
+type Options = {readonly seed?: number; readonly minutes: number; readonly instances: number; readonly callers: number; readonly directory: string};
+
+const program = new Command('soak')
+	.description('Plays random faults against gateway processes and checks the promises from what callers and endpoints see')
+	.option('--seed <number>', 'seed of the run (default: a new one)', parsePositive)
+	.option('--minutes <number>', 'length of the run', parsePositive, 1)
+	.option('--instances <number>', 'gateway processes', parsePositive, 4)
+	.option('--callers <number>', 'callers', parsePositive, 24)
+	.option('--directory <path>', 'folder for the logs of a failed run', 'bench-results/soak')
+	.action(async ({seed = randomInt(1, 2 ** 31), minutes, instances, callers, directory: parent}: Options) => {
+		process.stdout.write(`seed ${seed}\n`);
+		const directory = `${parent}/${seed}`;
+		await rm(directory, {recursive: true, force: true});
+		await mkdir(directory, {recursive: true});
+		const {violations, statuses, faults} = await soak({
+			seed, durationMs: minutes * millisecondsPerMinute, instances, callers, directory,
+		});
+		process.stdout.write(`calls by status ${JSON.stringify(statuses)}\nfaults ${JSON.stringify(faults)}\n`);
+		for (const {check, detail} of violations) {
+			process.stdout.write(`violated ${check}: ${detail}\n`);
+		}
+
+		if (violations.length === 0) {
+			await rm(directory, {recursive: true});
+			process.stdout.write(`seed ${seed}: all promises kept\n`);
+			process.exit(exitCodes.kept);
+		}
+
+		process.stdout.write(`seed ${seed}: ${violations.length} violations; logs in ${directory}\n`);
+		process.exit(exitCodes.violated);
+	});
+
+await program.parseAsync();
--- a/src/gateway/main.ts
+++ b/src/gateway/main.ts
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+// eslint-disable-next-line import-x/no-unassigned-import, import-x/order -- handlers must be installed before anything else is loaded
+import './early-signals.js';
 import process from 'node:process';
 import {Writable} from 'node:stream';
 import {Command} from 'commander';
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -1,5 +1,8 @@
 /** Stand-in of an endpoint on the platform: a plain service, or an engine that streams numbered events. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Milliseconds} from '../src/shared/clock.js';
 import type {Disposable} from '../src/shared/disposable-store.js';
 import {
 	resetConnection, StandInServer, type Exchange,
@@ -38,7 +41,13 @@
 	readonly headers: IncomingMessage['headers'];
 	readonly body: string;
 	readonly isRun: boolean;
+	/** When its headers and body had come, on the process's monotonic clock. */
+	readonly at: Milliseconds;
+	/** False when it was meant for another endpoint. */
+	readonly isExpected: boolean;
 	isClosedEarly: boolean;
+	/** When the response ended or its connection closed. */
+	closedAt?: Milliseconds;
 };
 
 export type PlatformEndpointOptions = {
@@ -48,8 +57,22 @@
 	readonly eventMs?: number;
 	/** Default: 5. */
 	readonly events?: number;
+	/** Default: any free port. */
+	readonly port?: number;
+	/** Time that a plain service works on a request. Default: 0. */
+	readonly workMs?: Milliseconds;
 };
 
+/** Body of a plain service's answer. */
+export function plainAnswer(requestId: string): string {
+	return `answer to ${requestId}`;
+}
+
+/** One event of an engine's stream; they are numbered from 1. */
+export function streamEvent(event: number): string {
+	return `id: ${event}\ndata: event ${event}\n\n`;
+}
+
 function seal(id: string, requestId: string): Record<string, string> {
 	return {'x-response-seal': `${id}.${requestId}`, 'x-request-id': requestId};
 }
@@ -62,6 +85,7 @@
 	static async listen(options: PlatformEndpointOptions): Promise<PlatformEndpoint> {
 		const endpoint = new PlatformEndpoint(options);
 		endpoint.#server = await StandInServer.listen({
+			port: options.port,
 			routes: ['GET', 'POST'].map(method => ({
 				method,
 				pattern: /^\//v,
@@ -100,11 +124,12 @@
 		const isExpected = request.headers['x-expect-instance'] === id;
 		const isRun = isExpected && fault !== endpointFaults.reject;
 		const seen: SeenRequest = {
-			requestId, path: `${url.pathname}${url.search}`, headers: request.headers, body: new TextDecoder().decode(body), isRun, isClosedEarly: false,
+			requestId, path: `${url.pathname}${url.search}`, headers: request.headers, body: new TextDecoder().decode(body), isRun, isExpected, at: performance.now(), isClosedEarly: false,
 		};
 		this.seen.push(seen);
 		response.on('close', () => {
 			seen.isClosedEarly = !response.writableFinished;
+			seen.closedAt = performance.now();
 		});
 		if (!isExpected) {
 			response.writeHead(421, {'x-instance-id': id});
@@ -114,8 +139,9 @@
 		} else if (isEngine) {
 			await this.#stream(request, response, fault);
 		} else {
+			await delay(this.options.workMs ?? 0);
 			response.writeHead(200, {...seal(id, requestId), 'content-type': 'text/plain'});
-			response.end(`answer to ${requestId}`);
+			response.end(plainAnswer(requestId));
 		}
 	}
 
@@ -163,9 +189,7 @@
 		response.writeHead(200, {...seal(id, String(request.headers['x-request-id'])), 'content-type': 'text/event-stream'});
 		for (let event = first; event <= events && !response.destroyed; event++) {
 			// eslint-disable-next-line no-await-in-loop
-			await new Promise(resolve => {
-				setTimeout(resolve, eventMs);
-			});
+			await delay(eventMs);
 			if (fault === endpointFaults.cutStream && event === first + 2) {
 				response.write(`id: ${event}\nda`);
 				setTimeout(() => {
@@ -178,7 +202,7 @@
 				return;
 			}
 
-			response.write(`id: ${event}\ndata: event ${event}\n\n`);
+			response.write(streamEvent(event));
 		}
 
 		response.end();
--- a/test/platform/gateway-program.test.ts
+++ b/test/platform/gateway-program.test.ts
@@ -1,12 +1,12 @@
-import {writeFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import anyTest, {type ExecutionContext, type TestFn} from 'ava';
 import {decodeSettings} from '../../platform/settings.js';
+import {createConfigurationDocument, createSettingsDocument} from '../../standins/platform-documents.js';
 import {PlatformEndpoint} from '../../standins/platform-endpoint.js';
 import {PlatformStore} from '../../standins/platform-store.js';
 import {call} from '../fixtures/gateway/caller.js';
 import {GatewayBundle, type GatewayProgram} from '../fixtures/gateway/gateway-program.js';
-import {createConfigurationDocument} from '../fixtures/gateway/gateway-site.js';
 import {until} from '../fixtures/until.js';
 
 const test = anyTest as TestFn<{bundle: GatewayBundle}>;
@@ -21,26 +21,11 @@
 
 let nextHost = 1;
 
-/* eslint-disable @typescript-eslint/naming-convention -- the platform's names */
 function createSettings(store: PlatformStore, seeds: readonly string[] = []) {
 	const host = `127.${201 + (process.pid % 50)}.0.${nextHost}`;
 	nextHost++;
-	return {
-		node_name: host,
-		ip: host,
-		zone: 'a',
-		internal_ports: [17_600, 17_615],
-		seeds: seeds.map(seed => `${seed}:18229`),
-		bootstrap: true,
-		listen: {front: `${host}:18221`, ready: `${host}:18224`},
-		limits: {max_fds: 1000},
-		bounds: {
-			contact_ms: 3000, drain_ms: 2000, grace_s: 8, revoke_ms: 5000, retry_budget_ratio: 0.2, retry_budget_extra: 54, quota_overage: 0.25, quota_slack: 140_000, cold_overage: 1.5, cold_slack: 5,
-		},
-		platform: {address: `${store.address.host}:${store.address.port}`, reads_per_s: 1000},
-	};
+	return createSettingsDocument({host, store: store.address, seeds});
 }
-/* eslint-enable @typescript-eslint/naming-convention */
 
 type Settings = ReturnType<typeof createSettings>;
 
@@ -133,3 +118,8 @@
 	t.is(await program.exited, 2);
 	t.regex(program.output, /ip/v);
 });
+
+test('the program handles the signal for changed settings before it loads anything else', async t => {
+	const text = await readFile(new URL('../../src/gateway/main.js', import.meta.url), 'utf8');
+	t.is(text.split('\n').find(line => line.startsWith('import')), 'import \'./early-signals.js\';');
+});
