Place requests by their announced length, and refuse at arrival what would be late

Change: a new request that is expected to be late is judged by the wait of late ones. The announced output tokens, with the learnt events for each token and the learnt time between events, give the expected time at an engine. Long requests go to fast engines, short ones to those with more room, and a request waits for an engine that can finish it if there is one.

The soak counts the faults between an instance and the store, so that the end of one does not end another; it revokes keys while an instance can't read the store, and lets all lookups fail.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -193,7 +193,7 @@
 			.map(call => `${call.requestId} was cut ${Math.round(call.endedAt - event.at)} ms after ${call.instance} was asked to stop`));
 	},
 	'left-caller-cancelled'(history) {
-		const left = ranCalls(history).filter(({call, run}) => call.leftAt !== undefined && run.at <= call.leftAt
+		const left = ranCalls(history).filter(({call, run}) => isStream(call.kind) && call.leftAt !== undefined && run.at <= call.leftAt
 			&& isUndisturbed(history, call.sentAt, call.leftAt + second));
 		const late = left.filter(({call, run}) => (run.closedAt ?? Infinity) > call.leftAt! + bounds.cancellationMs);
 		return left.length >= uncancelled.leastCases && late.length > uncancelled.share * left.length
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -6,7 +6,10 @@
 import {endpointFaults} from '../standins/platform-endpoint.js';
 import type {RandomSource} from '../standins/random-source.js';
 import type {Disturbance} from './history.js';
-import {availabilityZones, engineService, type Instance, type SoakSite} from './site.js';
+import {bounds} from './checks.js';
+import {
+	availabilityZones, engineService, type Instance, type SoakSite,
+} from './site.js';
 
 /** Endpoints of a service that must stay while one of them leaves or restarts. */
 const remainingEndpoints = 1;
@@ -21,6 +24,10 @@
 const streamFaults = [...Object.values(faultsOfBoth), cutStream, silentStream];
 const plainFaults = [...Object.values(faultsOfBoth), unframed];
 
+/** Requests that fail at each plain endpoint at most, and for how long; both exceed the budget of repeats. */
+const failingRequests = 200;
+const failingForMs: Milliseconds = 8000;
+
 type Fault = (site: SoakSite, random: RandomSource) => Promise<void>;
 
 /** Notes a fault for as long as it lasts. */
@@ -51,10 +58,14 @@
 }
 
 async function faultOfStore(site: SoakSite, instances: readonly Instance[], fault: ProxyFault, durationMs: Milliseconds): Promise<void> {
-	await Promise.all(instances.map(async ({host, storeProxy}) => disturb(site, {kind: 'store', instance: host}, async () => {
-		storeProxy.setFault(fault);
+	await Promise.all(instances.map(async instance => disturb(site, {kind: 'store', instance: instance.host}, async () => {
+		instance.storeFaults++;
+		instance.storeProxy.setFault(fault);
 		await delay(durationMs);
-		storeProxy.pass();
+		instance.storeFaults--;
+		if (instance.storeFaults === 0) {
+			instance.storeProxy.pass();
+		}
 	})));
 }
 
@@ -138,6 +149,26 @@
 	async storeOfAll(site, random) {
 		await faultOfStore(site, site.instances, storeFaults(random), random.integer(500, 5000));
 	},
+	/** An instance that can't read the store must not serve a key that is revoked meanwhile. */
+	async revocationUnread(site, random) {
+		const outage = faultOfStore(site, [random.pick(site.instances)!], storeFaults(random), bounds.revocationMs + 4000);
+		await delay(500);
+		site.revokeKey();
+		await outage;
+	},
+	/** All lookups fail, so that each is worth a repeat. */
+	async failingLookups(site) {
+		await disturb(site, {kind: 'endpoint-answers'}, async () => {
+			for (const {endpoint} of site.endpoints.filter(({service}) => service !== engineService)) {
+				endpoint.faults.push(...Array.from({length: failingRequests}, () => endpointFaults.error));
+			}
+
+			await delay(failingForMs);
+			for (const {endpoint} of site.endpoints) {
+				endpoint.faults.length = 0;
+			}
+		});
+	},
 	async endpointConnections(site, random) {
 		const {proxy} = random.pick(site.endpoints)!;
 		const fault = random.pick<ProxyFault>([{isCut: true}, {blackHole: 'both'}, {blackHole: 'backward'}, {delayMilliseconds: random.integer(50, 500)}])!;
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -33,7 +33,11 @@
 /** Endpoints of each plain service. */
 const plainCount = 2;
 
-const eventMs: Milliseconds = 15;
+/** A stream lasts longer than the bound for cancelling it, so that one that goes on is seen. */
+const eventMs: Milliseconds = 70;
+
+const engineSlots = 8;
+
 const workMs: Milliseconds = 20;
 
 /** Ports of every instance; instances differ by host. */
@@ -50,11 +54,16 @@
 
 const stopMs: Milliseconds = 8000;
 
+/** Revoked keys that callers go on using, counted back from the temporary one. */
+const revokedKeys = [-1, -2, -3] as const;
+
 export type Instance = {
 	readonly host: string;
 	readonly storeProxy: FaultProxy;
 	readonly settingsPath: string;
 	process: FleetProcess;
+	/** Faults between it and the store at present; the last one that ends lets everything pass. */
+	storeFaults: number;
 	/** Whether a fault holds the process at present. */
 	isHeld: boolean;
 };
@@ -117,13 +126,15 @@
 		this.#disposables.add(store);
 	}
 
-	/** Keys that callers use: two lasting ones, the temporary one, and the one that was revoked last. */
+	/** Keys that callers use: lasting ones, the temporary one, and those that were revoked lately. */
 	keys(): CallerKey[] {
 		return [
 			{key: 'key-wick', workspace: 'wick'},
+			{key: 'key-wick', workspace: 'wick'},
+			{key: 'key-busy', workspace: limitedWorkspace},
 			{key: 'key-busy', workspace: limitedWorkspace},
 			{key: this.#keyName(0), workspace: 'wick'},
-			{key: this.#keyName(-1), workspace: 'wick'},
+			...revokedKeys.map(offset => ({key: this.#keyName(offset), workspace: 'wick'})),
 		];
 	}
 
@@ -299,7 +310,7 @@
 
 	#register({id, service, availabilityZone, proxy, startNumber}: EndpointSlot, values: Record<string, unknown> = {}): void {
 		this.store.put(`servers/${id}`, createEndpointDocument({
-			service, address: proxy.address, zone: availabilityZone, born: startNumber, ...values,
+			service, address: proxy.address, zone: availabilityZone, born: startNumber, slots: engineSlots, ...values,
 		}));
 	}
 
@@ -323,7 +334,7 @@
 		})));
 		/* eslint-enable @typescript-eslint/naming-convention */
 		const instance: Instance = {
-			host, storeProxy, settingsPath, process: this.#spawn(host, settingsPath), isHeld: false,
+			host, storeProxy, settingsPath, process: this.#spawn(host, settingsPath), storeFaults: 0, isHeld: false,
 		};
 		this.instances.push(instance);
 	}
--- a/src/gateway/callers/types.ts
+++ b/src/gateway/callers/types.ts
@@ -1,11 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
 
-/** A part of a prompt that several requests may share. */
-export type PromptPart = {
-	readonly id: string;
-	readonly tokens: number;
-};
-
 /** What a caller's headers say. */
 export type CallerRequestFacts = {
 	readonly requestId?: string;
@@ -14,8 +8,9 @@
 	/** How long the caller waits from now on. */
 	readonly remainingMs?: Milliseconds;
 	readonly key?: string;
+	/** Prompt tokens, and the most output tokens that are allowed. */
 	readonly tokens?: {readonly prompt: number; readonly output: number};
-	/** In the order of the prompt; the last one is the request's or session's own. */
-	readonly promptParts: readonly PromptPart[];
+	/** The caller's estimate of the output tokens, which is right at the median and often far off. */
+	readonly announcedTokens?: number;
 	readonly lastEventId?: string;
 };
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -76,6 +76,11 @@
 		return this.options.sentAt;
 	}
 
+	/** Whether the caller already had a part of the stream. */
+	get isContinuation(): boolean {
+		return this.options.isContinuation;
+	}
+
 	get kind(): ResponseKind {
 		return this.#kind;
 	}
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -117,8 +117,7 @@
 			startBy: since + longestWait(route, this.#giveUpAt - since),
 			giveUpAt: this.#giveUpAt,
 			promptTokens: facts.tokens?.prompt ?? 0,
-			outputTokens: facts.tokens?.output ?? 0,
-			promptParts: facts.promptParts,
+			announcedTokens: facts.announcedTokens,
 			excluded: this.#excluded,
 			start: (endpointId, running) => {
 				this.#start(endpointId, running);
@@ -262,7 +261,11 @@
 			this.#repeatOrFail(attempt, outcome, end, now);
 		}
 
-		this.context.scheduler.ended(attempt.endpointId, outcome, attempt.eventMs);
+		this.context.scheduler.ended(attempt.endpointId, outcome, {
+			eventMs: attempt.eventMs,
+			events: attempt.isContinuation ? undefined : attempt.events,
+			announcedTokens: this.request.facts.announcedTokens,
+		});
 	}
 
 	#finish(attempt: Attempt): void {
--- a/src/gateway/scheduling/placement.ts
+++ b/src/gateway/scheduling/placement.ts
@@ -12,25 +12,56 @@
 	readonly isSameZone: boolean;
 };
 
+/** What placement knows of a request. */
+export type PlacedRequest = {
+	readonly expectedEvents: number;
+	/** Prompt tokens that the endpoint has to read. */
+	readonly promptTokens: number;
+	/** Time until nobody waits for the answer. */
+	readonly remainingMs: Milliseconds;
+};
+
 /** Part by which a full endpoint counts as slower than an empty one, because its requests share each step and wait for each other's prompts. */
 const fullEndpointSlowdown = 1;
 
+/** Time that a request loses at a full endpoint, whatever its length: it waits for the prompts of the others. */
+const fullEndpointMs: Milliseconds = 150;
+
+/** Prompt tokens that an engine reads in the time of one event. The known engines read 157 tokens in a millisecond and take 25 to 43 ms for an event. */
+const promptTokensForEachEvent = 5000;
+
+/** Time until the first event, in events: a request waits for a step and reads its prompt in turns with the others. Short requests on a calm day took three to four times their engine's event time. */
+const eventsUntilFirst = 3;
+
+/** Part by which a request may take longer than expected. Announced lengths are right only at the median. */
+const reserve = 1.3;
+
 /** Advantage of an endpoint in the same availability zone: traffic between zones is paid for. */
 const sameZoneAdvantage = 0.02;
 
-/** Cost of a place at an endpoint; the lowest gets the request. */
-export function placementCost(candidate: Candidate): number {
+/** Expected time of a request at an endpoint with this time between events. */
+export function expectedDuration({expectedEvents, promptTokens}: PlacedRequest, eventMs: Milliseconds): Milliseconds {
+	return (eventsUntilFirst + expectedEvents + (promptTokens / promptTokensForEachEvent)) * eventMs;
+}
+
+/** Cost of a place at an endpoint; the lowest gets the request. Long requests go to fast endpoints, short ones to those with the most room. */
+export function placementCost(candidate: Candidate, request: PlacedRequest): Milliseconds {
 	const share = candidate.running / candidate.slots;
-	const speed = candidate.eventMs * (1 + (fullEndpointSlowdown * share));
-	return speed * (candidate.isSameZone ? 1 - sameZoneAdvantage : 1);
+	const duration = expectedDuration(request, candidate.eventMs) * (1 + (fullEndpointSlowdown * share));
+	return (duration + (fullEndpointMs * share)) * (candidate.isSameZone ? 1 - sameZoneAdvantage : 1);
+}
+
+/** Whether a request is expected to end at an endpoint before its caller gives up. */
+export function canFinish(request: PlacedRequest, eventMs: Milliseconds): boolean {
+	return reserve * expectedDuration(request, eventMs) <= request.remainingMs;
 }
 
 /** Chooses the endpoint for a request among those that have room. Endpoints that fail requests come last. */
-export function choosePlace(candidates: Iterable<Candidate>): Candidate | undefined {
+export function choosePlace(candidates: Iterable<Candidate>, request: PlacedRequest): Candidate | undefined {
 	let best: Candidate | undefined;
 	let bestCost = Infinity;
 	for (const candidate of candidates) {
-		const cost = placementCost(candidate);
+		const cost = placementCost(candidate, request);
 		if (best === undefined
 			|| (best.isFailing && !candidate.isFailing)
 			|| (best.isFailing === candidate.isFailing && cost < bestCost)) {
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -1,8 +1,11 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {ColdLimits} from '../limits/cold-limits.js';
 import type {EndpointRecord, Service} from '../site/types.js';
-import {EndpointLoad, type RunOutcome} from './endpoint-load.js';
-import {choosePlace, type Candidate} from './placement.js';
+import {EndpointLoad, runOutcomes, type RunOutcome} from './endpoint-load.js';
+import {LengthEstimate} from './length-estimate.js';
+import {
+	canFinish, choosePlace, type Candidate, type PlacedRequest,
+} from './placement.js';
 import {lateRank, StartRate} from './start-rate.js';
 import {refusalReasons, type RefusalReason, type WaitingRequest} from './types.js';
 import {WaitingLine} from './waiting-line.js';
@@ -40,6 +43,15 @@
 	readonly draw: () => number;
 };
 
+/** What an ended stream tells of lengths and speeds. */
+export type StreamMeasures = {
+	/** Mean time between its events, if it had enough of them. */
+	readonly eventMs?: Milliseconds;
+	/** Events of the whole stream. */
+	readonly events?: number;
+	readonly announcedTokens?: number;
+};
+
 /** Gives the requests of one service to its endpoints: who is next, and where. */
 export class ServiceScheduler {
 	static create(options: ServiceSchedulerOptions): ServiceScheduler {
@@ -48,6 +60,7 @@
 
 	readonly #line = WaitingLine.create();
 	readonly #startRate = StartRate.create();
+	readonly #lengths = LengthEstimate.create();
 	readonly #loads = new Map<string, EndpointLoad>();
 	/** Endpoints that left while requests of this instance were under way there. */
 	readonly #leaving = new Map<string, EndpointLoad>();
@@ -105,7 +118,7 @@
 		this.#line.add(request);
 		this.pump();
 		if (this.#line.has(request)) {
-			this.#refuseHopeless(request, this.#startRate.expectedWait(request.tier, ahead, now), now);
+			this.#refuseHopeless(request, this.#expectedWait(request, ahead, now), now);
 		}
 	}
 
@@ -115,8 +128,12 @@
 	}
 
 	/** Records that a request at an endpoint has ended. */
-	ended(endpointId: string, outcome: RunOutcome, eventMs?: Milliseconds): void {
+	ended(endpointId: string, outcome: RunOutcome, {eventMs, events, announcedTokens}: StreamMeasures = {}): void {
 		const now = this.options.clock.now();
+		if (outcome === runOutcomes.completed && events !== undefined && announcedTokens !== undefined) {
+			this.#lengths.note(announcedTokens, events);
+		}
+
 		const load = this.#loads.get(endpointId) ?? this.#leaving.get(endpointId);
 		if (load?.ended(outcome, now, eventMs) === true && this.#service.coldRequestsPerSecond > 0) {
 			load.suspectCold(now + this.#service.coldStartMs);
@@ -146,6 +163,18 @@
 		}
 	}
 
+	/**
+	Expected time until a new request gets a place. One that is expected to be late will stand behind all that are in time, so a caller who can't be served late either hears so at once.
+	*/
+	#expectedWait({tier, targetAt}: WaitingRequest, timelyAhead: number, now: Milliseconds): Milliseconds | undefined {
+		const waitMs = this.#startRate.expectedWait(tier, timelyAhead, now);
+		if (waitMs === undefined || now + waitMs + startMs <= targetAt) {
+			return waitMs;
+		}
+
+		return Math.max(waitMs, this.#startRate.expectedWait(lateRank, this.#line.lateAhead(tier), now) ?? 0);
+	}
+
 	#refuseHopeless(request: WaitingRequest, expectedWaitMs: Milliseconds | undefined, now: Milliseconds): void {
 		if (expectedWaitMs !== undefined && now + expectedWaitMs > request.startBy && this.#line.remove(request)) {
 			this.#refuse(request, refusalReasons.overloaded, this.#retryAfter(request, now), expectedWaitMs);
@@ -171,8 +200,13 @@
 				continue;
 			}
 
-			const place = choosePlace(this.#candidates(request, now));
+			const candidates = [...this.#candidates(request, now)];
+			const place = this.#choosePlace(candidates, request, now);
 			if (place === undefined) {
+				if (candidates.length > 0) {
+					continue;
+				}
+
 				if (request.excluded.size === 0) {
 					return;
 				}
@@ -193,6 +227,28 @@
 		}
 	}
 
+	/** A request waits for an endpoint that is expected to finish it in time, if there is one; a run that is cut off at the caller's deadline takes a place for nothing. */
+	#choosePlace(candidates: readonly Candidate[], {announcedTokens, promptTokens, giveUpAt}: WaitingRequest, now: Milliseconds): Candidate | undefined {
+		const request: PlacedRequest = {expectedEvents: this.#lengths.events(announcedTokens), promptTokens, remainingMs: giveUpAt - now};
+		const suitable = candidates.filter(({eventMs}) => canFinish(request, eventMs));
+		if (suitable.length > 0 || this.#canBeFinished(request, now)) {
+			return choosePlace(suitable, request);
+		}
+
+		return choosePlace(candidates, request);
+	}
+
+	/** Whether an endpoint that may have no room at present could finish a request in time. */
+	#canBeFinished(request: PlacedRequest, now: Milliseconds): boolean {
+		for (const load of this.#loads.values()) {
+			if (!load.record.isLeaving && !load.isPaused(now) && !load.isFailing && !this.#evacuatedZones.has(load.record.availabilityZone) && canFinish(request, load.eventMs)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	/** Whether no endpoint is left that could get the request later. */
 	#hasTriedAll(request: WaitingRequest): boolean {
 		for (const {record} of this.#loads.values()) {
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -1,5 +1,4 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import type {PromptPart} from '../callers/types.js';
 
 /** Why a request was not given to an endpoint. It has not run. */
 export const refusalReasons = {
@@ -37,8 +36,8 @@
 	/** After that nobody waits for the response. */
 	readonly giveUpAt: Milliseconds;
 	readonly promptTokens: number;
-	readonly outputTokens: number;
-	readonly promptParts: readonly PromptPart[];
+	/** Output tokens that the caller expects, if it says so. */
+	readonly announcedTokens?: number;
 	/** Endpoints that are not to be tried (again). */
 	readonly excluded: ReadonlySet<string>;
 	/** @param running requests of all instances under way at the endpoint, as far as known, before this one */
--- a/test/gateway/callers/admission.test.ts
+++ b/test/gateway/callers/admission.test.ts
@@ -11,7 +11,7 @@
 import {ManualClock} from '../../fixtures/manual-clock.js';
 
 const facts: CallerRequestFacts = {
-	requestId: 'r', host: 'office.example', remainingMs: 1000, key: 'key-wick', promptParts: [],
+	requestId: 'r', host: 'office.example', remainingMs: 1000, key: 'key-wick',
 };
 
 function createAdmission(configuration: SiteConfiguration | undefined = createSiteConfiguration()) {
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -140,6 +140,51 @@
 	t.is(waiting.refusals[0]?.reason, 'waited-too-long');
 });
 
+/** A fast and a slow engine whose speeds have been learnt from one stream each. */
+function createUnequalEngines(fastPeerRuns = 0) {
+	const peerRuns: Record<string, number> = {};
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({id: 'fast'}), createEndpoint({id: 'slow'})], peerRuns});
+	for (const [id, eventMs] of [['fast', 14], ['slow', 35]] as const) {
+		peerRuns.fast = id === 'slow' ? 4 : 0;
+		const first = request(clock);
+		scheduler.submit(first);
+		scheduler.ended(first.startedAt[0]!, 'completed', {eventMs: first.startedAt[0] === 'fast' ? 14 : eventMs});
+	}
+
+	peerRuns.fast = fastPeerRuns;
+	return {clock, scheduler, peerRuns};
+}
+
+test('a long request goes to the fast engine though it is fuller, a short one to the one with more room', t => {
+	const {clock, scheduler} = createUnequalEngines(3);
+	const short = request(clock, {announcedTokens: 10});
+	scheduler.submit(short);
+	t.deepEqual(short.startedAt, ['slow']);
+	const long = request(clock, {announcedTokens: 400});
+	scheduler.submit(long);
+	t.deepEqual(long.startedAt, ['fast']);
+});
+
+test('a request that a slow engine can\'t finish before its caller gives up waits for a fast one, and others pass it', t => {
+	const {clock, scheduler, peerRuns} = createUnequalEngines(4);
+	const long = request(clock, {announcedTokens: 400, giveUpAt: clock.now() + 2000});
+	const short = request(clock, {announcedTokens: 10, giveUpAt: clock.now() + 2000});
+	scheduler.submit(long);
+	scheduler.submit(short);
+	t.deepEqual(long.startedAt, []);
+	t.deepEqual(short.startedAt, ['slow']);
+	peerRuns.fast = 3;
+	scheduler.pump();
+	t.deepEqual(long.startedAt, ['fast']);
+});
+
+test('a request that no engine is expected to finish is started all the same, because lengths are guesses', t => {
+	const {clock, scheduler} = createUnequalEngines();
+	const long = request(clock, {announcedTokens: 400, giveUpAt: clock.now() + 300});
+	scheduler.submit(long);
+	t.deepEqual(long.startedAt, ['fast']);
+});
+
 type Outcome = {readonly started: number; readonly inTime: number; readonly refusedAfterMs: number[]};
 
 /** Plays a lasting overload: each 10 ms a request of each tier comes, and each 20 ms one place becomes free. */
@@ -162,7 +207,7 @@
 		}
 
 		if (step % 2 === 0) {
-			scheduler.ended('engine-1', 'completed', 5);
+			scheduler.ended('engine-1', 'completed', {eventMs: 5});
 		}
 
 		clock.advance(10);
@@ -186,6 +231,12 @@
 	t.true(refusals.filter(afterMs => afterMs === 0).length > 0.8 * refusals.length, 'most callers of the lowest tier hear at once that they must come back');
 });
 
+test('a request that would be late while late ones get no place is refused as it comes, not when it has become late', t => {
+	const refusals = playOverload().get(1)!.refusedAfterMs;
+	t.true(refusals.length > 100);
+	t.true(refusals.filter(afterMs => afterMs === 0).length > 0.8 * refusals.length);
+});
+
 test('refused callers may come back spread over a part of their remaining time', t => {
 	const {clock, scheduler} = createScheduler({records: []});
 	const waiting = request(clock, {startBy: clock.now() - 1, giveUpAt: clock.now() + 10_000});
--- a/test/platform/request-headers.test.ts
+++ b/test/platform/request-headers.test.ts
@@ -19,7 +19,7 @@
 		'x-deadline-ms': '1500',
 		authorization: 'Bearer secret',
 		'x-token-count': '1460,80',
-		'x-prompt-prefix': 'aa:60,bb:1400',
+		'x-length-hint': '42',
 		'last-event-id': '12',
 	}), {
 		requestId: 'r1',
@@ -27,16 +27,16 @@
 		remainingMs: 1500,
 		key: 'secret',
 		tokens: {prompt: 1460, output: 80},
-		promptParts: [{id: 'aa', tokens: 60}, {id: 'bb', tokens: 1400}],
+		announcedTokens: 42,
 		lastEventId: '12',
 	});
 });
 
 test('figures that are no whole numbers count as missing', t => {
 	t.like(decodeRequestHeaders({
-		host: 'a', 'x-deadline-ms': '1e3', 'x-token-count': '-4,x', 'x-prompt-prefix': 'aa,bb:x',
+		host: 'a', 'x-deadline-ms': '1e3', 'x-token-count': '-4,x', 'x-length-hint': 'long',
 	}), {
-		remainingMs: undefined, tokens: undefined, promptParts: [],
+		remainingMs: undefined, tokens: undefined, announcedTokens: undefined,
 	});
 });
 
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -41,7 +41,7 @@
 const cutCall = {status: undefined, body: '', isComplete: false};
 const part = streamEvent(1);
 const whole = Array.from({length: streamEvents}, (_, index) => streamEvent(index + 1)).join('');
-const leftCalls = createCalls(bounds.coldRequestsPerSecond * 3, 100, {...cutCall, leftAt: 10_050});
+const leftCalls = createCalls(12, 100, {...cutCall, kind: 'stream', leftAt: 10_050});
 const storeFault = {
 	kind: 'store', instance: 'i1', at: 6000, until: 9000,
 };
