--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
 import {mkdir, rm} from 'node:fs/promises';
 import process from 'node:process';
 import {Command, InvalidArgumentError} from 'commander';
+import {failedSeeds} from './failed-seeds.js';
 import {soak} from './soak.js';
 
 const millisecondsPerMinute = 60_000;
@@ -18,7 +19,38 @@
 	return number;
 }
 
-type Options = {readonly seed?: number; readonly minutes: number; readonly instances: number; readonly callers: number; readonly directory: string};
+type Options = {
+	readonly seed?: number;
+	readonly minutes: number;
+	readonly instances: number;
+	readonly callers: number;
+	readonly directory: string;
+	readonly regressions: boolean;
+};
+
+/** Plays one seed and says whether all promises were kept. */
+async function play(seed: number, minutes: number, {instances, callers, directory: parent}: Options): Promise<boolean> {
+	process.stdout.write(`seed ${seed}\n`);
+	const directory = `${parent}/${seed}`;
+	await rm(directory, {recursive: true, force: true});
+	await mkdir(directory, {recursive: true});
+	const {violations, statuses, faults} = await soak({
+		seed, durationMs: minutes * millisecondsPerMinute, instances, callers, directory,
+	});
+	process.stdout.write(`calls by status ${JSON.stringify(statuses)}\nfaults ${JSON.stringify(faults)}\n`);
+	for (const {check, detail} of violations) {
+		process.stdout.write(`violated ${check}: ${detail}\n`);
+	}
+
+	if (violations.length > 0) {
+		process.stdout.write(`seed ${seed}: ${violations.length} violations; logs in ${directory}\n`);
+		return false;
+	}
+
+	await rm(directory, {recursive: true});
+	process.stdout.write(`seed ${seed}: all promises kept\n`);
+	return true;
+}
 
 const program = new Command('soak')
 	.description('Plays random faults against gateway processes and checks the promises from what callers and endpoints see')
@@ -27,27 +59,16 @@
 	.option('--instances <number>', 'gateway processes', parsePositive, 4)
 	.option('--callers <number>', 'callers', parsePositive, 24)
 	.option('--directory <path>', 'folder for the logs of a failed run', 'bench-results/soak')
-	.action(async ({seed = randomInt(1, 2 ** 31), minutes, instances, callers, directory: parent}: Options) => {
-		process.stdout.write(`seed ${seed}\n`);
-		const directory = `${parent}/${seed}`;
-		await rm(directory, {recursive: true, force: true});
-		await mkdir(directory, {recursive: true});
-		const {violations, statuses, faults} = await soak({
-			seed, durationMs: minutes * millisecondsPerMinute, instances, callers, directory,
-		});
-		process.stdout.write(`calls by status ${JSON.stringify(statuses)}\nfaults ${JSON.stringify(faults)}\n`);
-		for (const {check, detail} of violations) {
-			process.stdout.write(`violated ${check}: ${detail}\n`);
+	.option('--regressions', 'play the seeds that once failed instead', false)
+	.action(async (options: Options) => {
+		const {seed = randomInt(1, 2 ** 31), minutes, regressions} = options;
+		let areKept = true;
+		for (const run of regressions ? failedSeeds : [{seed, minutes}]) {
+			// eslint-disable-next-line no-await-in-loop -- runs would disturb each other
+			areKept = await play(run.seed, run.minutes, options) && areKept;
 		}
 
-		if (violations.length === 0) {
-			await rm(directory, {recursive: true});
-			process.stdout.write(`seed ${seed}: all promises kept\n`);
-			process.exit(exitCodes.kept);
-		}
-
-		process.stdout.write(`seed ${seed}: ${violations.length} violations; logs in ${directory}\n`);
-		process.exit(exitCodes.violated);
+		process.exit(areKept ? exitCodes.kept : exitCodes.violated);
 	});
 
 await program.parseAsync();
