Don't let a request wait for an engine that has rejected it

Cause: found by reading. A request waits while an engine could finish it in time, and engines that had already rejected the request or broken it off were counted. Such a request waited until its start was of no use and was refused with places free.

Change: excluded endpoints no longer count.

--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -228,10 +228,10 @@
 	}
 
 	/** A request waits for an endpoint that is expected to finish it in time, if there is one; a run that is cut off at the caller's deadline takes a place for nothing. */
-	#choosePlace(candidates: readonly Candidate[], {announcedTokens, promptTokens, giveUpAt}: WaitingRequest, now: Milliseconds): Candidate | undefined {
+	#choosePlace(candidates: readonly Candidate[], {announcedTokens, promptTokens, giveUpAt, excluded}: WaitingRequest, now: Milliseconds): Candidate | undefined {
 		const request: PlacedRequest = {expectedEvents: this.#lengths.events(announcedTokens), promptTokens, remainingMs: giveUpAt - now};
 		const suitable = candidates.filter(({eventMs}) => canFinish(request, eventMs));
-		if (suitable.length > 0 || this.#canBeFinished(request, now)) {
+		if (suitable.length > 0 || this.#canBeFinished(request, excluded, now)) {
 			return choosePlace(suitable, request);
 		}
 
@@ -239,9 +239,11 @@
 	}
 
 	/** Whether an endpoint that may have no room at present could finish a request in time. */
-	#canBeFinished(request: PlacedRequest, now: Milliseconds): boolean {
+	#canBeFinished(request: PlacedRequest, excluded: ReadonlySet<string>, now: Milliseconds): boolean {
 		for (const load of this.#loads.values()) {
-			if (!load.record.isLeaving && !load.isPaused(now) && !load.isFailing && !this.#evacuatedZones.has(load.record.availabilityZone) && canFinish(request, load.eventMs)) {
+			const {id, isLeaving, availabilityZone} = load.record;
+			const isUsable = !excluded.has(id) && !isLeaving && !this.#evacuatedZones.has(availabilityZone) && !load.isPaused(now) && !load.isFailing;
+			if (isUsable && canFinish(request, load.eventMs)) {
 				return true;
 			}
 		}
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -178,6 +178,13 @@
 	t.deepEqual(long.startedAt, ['fast']);
 });
 
+test('a request does not wait for a fast engine that has already rejected it', t => {
+	const {clock, scheduler} = createUnequalEngines(4);
+	const long = request(clock, {announcedTokens: 400, giveUpAt: clock.now() + 2000, excluded: new Set(['fast'])});
+	scheduler.submit(long);
+	t.deepEqual(long.startedAt, ['slow']);
+});
+
 test('a request that no engine is expected to finish is started all the same, because lengths are guesses', t => {
 	const {clock, scheduler} = createUnequalEngines();
 	const long = request(clock, {announcedTokens: 400, giveUpAt: clock.now() + 300});
