Log how long the store was lost and how long a missing endpoint is kept

Change: dependency-regained names the time since the last confirmation, the reads that failed and those that still wait; endpoint-missing is logged once and names the time for which the endpoint is kept. No decision changes.

--- a/src/gateway/observability/site-change-fields.ts
+++ b/src/gateway/observability/site-change-fields.ts
@@ -6,7 +6,7 @@
 	if ('endpoint' in change) {
 		const {id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt} = change.endpoint;
 		return {
-			endpoint: id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt,
+			endpoint: id, service, address, availabilityZone, isLeaving, coldRemainingMs, startedAt, keptForMs: 'keptForMs' in change ? change.keptForMs : undefined,
 		};
 	}
 
--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -55,6 +55,8 @@
 	#isStoreReachable: boolean | undefined;
 	/** When the state was last confirmed, by an own read or another instance. */
 	#lastSuccessAt: Milliseconds | undefined;
+	/** Reads that failed since the last one that succeeded. */
+	#failedReads = 0;
 	#isDisposed = false;
 
 	readonly #intervalMs: Milliseconds;
@@ -125,9 +127,8 @@
 			const snapshot = await source.read(readTimeoutMs);
 			const now = clock.now();
 			const changes = state.apply(snapshot, sentAt, now);
-			this.#lastSuccessAt = now;
+			this.#recordSuccess(now, now - sentAt);
 			onRead('read', now - sentAt);
-			this.#recordSuccess(now - sentAt);
 			if (changes.length > 0) {
 				onChanges(changes);
 			}
@@ -139,19 +140,32 @@
 		}
 	}
 
-	#recordSuccess(durationMs: Milliseconds): void {
+	#recordSuccess(now: Milliseconds, durationMs: Milliseconds): void {
 		if (this.#isStoreReachable !== true) {
-			this.options.log.event('dependency-regained', {dependency: 'store', durationMs: Math.round(durationMs)});
+			this.options.log.event('dependency-regained', {
+				dependency: 'store',
+				durationMs: Math.round(durationMs),
+				lastSuccessMs: this.#sinceLastSuccess(now),
+				failedReads: this.#failedReads,
+				pendingReads: this.#pendingReads - 1,
+			});
 			this.#isStoreReachable = true;
 		}
+
+		this.#lastSuccessAt = now;
+		this.#failedReads = 0;
 	}
 
 	#recordFailure(error: unknown): void {
+		this.#failedReads++;
 		if (this.#isStoreReachable !== false) {
-			const lastSuccessMs = this.#lastSuccessAt === undefined ? undefined : Math.round(this.options.clock.now() - this.#lastSuccessAt);
-			this.options.log.event('dependency-lost', {dependency: 'store', reason: describeError(error), lastSuccessMs});
+			this.options.log.event('dependency-lost', {dependency: 'store', reason: describeError(error), lastSuccessMs: this.#sinceLastSuccess(this.options.clock.now())});
 			this.#isStoreReachable = false;
 			this.#schedule(retryIntervalMs);
 		}
 	}
+
+	#sinceLastSuccess(now: Milliseconds): Milliseconds | undefined {
+		return this.#lastSuccessAt === undefined ? undefined : Math.round(now - this.#lastSuccessAt);
+	}
 }
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -16,7 +16,8 @@
 		| {readonly kind: 'endpoint-restarted'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'endpoint-changed'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'endpoint-removed'; readonly endpoint: EndpointRecord}
-		| {readonly kind: 'endpoint-missing'; readonly endpoint: EndpointRecord}
+		/** Its record may have expired during an outage of the store, so it stays in use for a while. */
+		| {readonly kind: 'endpoint-missing'; readonly endpoint: EndpointRecord; readonly keptForMs: Milliseconds}
 		| {readonly kind: 'zone-evacuated'; readonly availabilityZone: string}
 		| {readonly kind: 'zone-returned'; readonly availabilityZone: string}
 		| {readonly kind: 'record-rejected'; readonly record: RejectedRecord};
@@ -38,8 +39,8 @@
 	#rejected = new Map<string, string>();
 	#confirmedAt: Milliseconds | undefined;
 	#digest: string | undefined;
-	/** Whether endpoints without a record are kept, so that a later read may change the state without a change in the store. */
-	#hasMissingEndpoints = false;
+	/** Endpoints that are kept without a record, so that a later read may change the state without a change in the store. */
+	#missingIds: ReadonlySet<string> = new Set();
 	/** Time until which endpoints without a record are kept. */
 	#graceUntil: Milliseconds = -Infinity;
 
@@ -74,7 +75,7 @@
 	@returns false when the content differs, or when this state may change without a change in the store
 	*/
 	confirm(digest: string, confirmedAt: Milliseconds): boolean {
-		if (this.#confirmedAt === undefined || digest !== this.#digest || this.#hasMissingEndpoints) {
+		if (this.#confirmedAt === undefined || digest !== this.#digest || this.#missingIds.size > 0) {
 			return false;
 		}
 
@@ -141,21 +142,24 @@
 			}
 		}
 
-		this.#hasMissingEndpoints = false;
+		const missingIds = new Set<string>();
 		for (const endpoint of this.#endpoints.values()) {
 			if (endpoints.has(endpoint.id)) {
 				continue;
 			}
 
 			if (now < this.#graceUntil) {
-				this.#hasMissingEndpoints = true;
+				missingIds.add(endpoint.id);
 				endpoints.set(endpoint.id, endpoint);
-				changes.push({kind: 'endpoint-missing', endpoint});
+				if (!this.#missingIds.has(endpoint.id)) {
+					changes.push({kind: 'endpoint-missing', endpoint, keptForMs: Math.round(this.#graceUntil - now)});
+				}
 			} else {
 				changes.push({kind: 'endpoint-removed', endpoint});
 			}
 		}
 
+		this.#missingIds = missingIds;
 		this.#endpoints = endpoints;
 		return changes;
 	}
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -55,6 +55,8 @@
 	await until(() => memoryLog.linesOf('dependency-regained').length > 1);
 	t.is(memoryLog.linesOf('dependency-lost').length, 1);
 	t.regex(memoryLog.linesOf('dependency-lost')[0]!, /reason="status 503"/v);
+	const regained = memoryLog.linesOf('dependency-regained').at(-1)!;
+	t.regex(regained, /lastSuccessMs=[1-9]\d* failedReads=[2-9] pendingReads=0/v);
 });
 
 test('a read without a response does not delay the next one', async t => {
--- a/test/gateway/site/site-state.test.ts
+++ b/test/gateway/site/site-state.test.ts
@@ -41,9 +41,9 @@
 test('an endpoint whose record expired during an outage of the store is kept for two seconds and then removed', t => {
 	const state = SiteState.create();
 	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
-	t.deepEqual(state.apply(createSnapshot(), 6000, 6001).map(({kind}) => kind), ['endpoint-missing']);
+	t.deepEqual(state.apply(createSnapshot(), 6000, 6001), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 2000}]);
 	t.is(state.endpoints.size, 1);
-	state.apply(createSnapshot(), 7000, 7001);
+	t.deepEqual(state.apply(createSnapshot(), 7000, 7001), [], 'it is reported once');
 	t.is(state.endpoints.size, 1);
 	state.apply(createSnapshot(), 8100, 8101);
 	t.is(state.endpoints.size, 0);
