Show requests to endpoints that left while the store turned an instance away

The test cuts one of three gateways off the store, removes an endpoint, and gives the store back: 5 of 12 requests go to the endpoint that has left, none is expected. Gateways of the tests can reach the store through a proxy of their own.

--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -91,3 +91,34 @@
 	t.is(refused.status, 429, 'the quota holds what the time since the start gives');
 	t.like(await running, {status: 200, isComplete: true});
 });
+
+// Guards against an instance that takes its own loss of the store for an outage and keeps endpoints that have left.
+test('an instance that only the store had turned away sends nothing to endpoints that left meanwhile', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	await site.addEndpoint({id: 'remaining', isEngine: false});
+	const instances = [await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy()];
+	await until(() => instances.every(({gateway}) => gateway.memoryLog.linesOf('peer-joined').length === 2));
+	// One of the three reads the store for the others, so each of them is turned away in its turn.
+	for (const [index, {gateway, proxy}] of instances.entries()) {
+		const others = instances.filter(instance => instance.gateway !== gateway);
+		const id = `leaving-${index}`;
+		// eslint-disable-next-line no-await-in-loop
+		const endpoint = await site.addEndpoint({id, isEngine: false});
+		// eslint-disable-next-line no-await-in-loop
+		await until(() => instances.every(instance => instance.gateway.memoryLog.linesOf('endpoint-added').some(line => line.includes(id))));
+		proxy.setFault({resetsConnections: true});
+		site.store.remove(`servers/${id}`);
+		// eslint-disable-next-line no-await-in-loop
+		await until(() => !gateway.process.isReady && others.every(other => other.gateway.memoryLog.linesOf('endpoint-removed').some(line => line.includes(id))));
+		const requestsBefore = endpoint.executedRequestIds.length;
+		proxy.clearFaults();
+		// eslint-disable-next-line no-await-in-loop
+		await until(() => gateway.process.isReady);
+		// eslint-disable-next-line no-await-in-loop
+		const answers = await Promise.all(Array.from({length: 12}, async () => call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'})));
+		t.deepEqual(answers.filter(({status}) => status !== 200), []);
+		t.is(endpoint.executedRequestIds.length, requestsBefore, `requests to ${id}`);
+		t.deepEqual(gateway.memoryLog.linesOf('endpoint-missing'), []);
+	}
+});
