Remove endpoints that left while the store turned only this instance away

Cause: after a gap in its reads of more than 2.5 s an instance kept every endpoint without a record for 2 s, because records expire while the store is down.

Change: confirmations between instances also say for how long records may be missing, as far as the sender knows. An instance that would keep an endpoint asks three others before it applies the read; one that has read the store all the time shows that no record has expired. If none does (an outage, or no other instance is reachable), endpoints are kept as before. A process vouches for nothing in its first 2 s, and a state that is confirmed after a gap takes over the time of the instance that confirms it. The datagram format is version 2; instances of another version read the store themselves, as before.

Ruled out: a wait or a second send (waitedMs=0, send=1), a state confirmed with other content (the newest version, read 355 ms before).

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -28,6 +28,7 @@
 import {Freshness} from './site/freshness.js';
 import {SiteReaderTask, type SiteSource} from './site/site-reader-task.js';
 import {SiteState, type SiteChange} from './site/site-state.js';
+import {selectWitnesses} from './site/witness-selection.js';
 import type {EndpointRecord, Service, SiteConfirmation} from './site/types.js';
 
 /** Interval of the checks for requests whose deadline may have passed. */
@@ -128,6 +129,7 @@
 			},
 			changeBoundMs: settings.bounds.changeMs,
 			findReader: () => selectReader(settings.host, settings.availabilityZone, this.#peers.presentPeers()),
+			findWitnesses: () => selectWitnesses(settings.host, this.#peers.presentHosts(), this.#peers.members(), Math.random),
 			ask: async (host, timeoutMs) => this.#confirmations.ask(host, timeoutMs),
 		});
 		this.#confirmations = ConfirmationTask.create({
@@ -399,7 +401,8 @@
 
 	#ownConfirmation(): SiteConfirmation | undefined {
 		const {digest, confirmedAt} = this.#site;
-		return digest === undefined || confirmedAt === undefined ? undefined : {digest, ageMs: this.options.freshnessClock.now() - confirmedAt};
+		const now = this.options.freshnessClock.now();
+		return digest === undefined || confirmedAt === undefined ? undefined : {digest, ageMs: now - confirmedAt, recordGraceMs: this.#site.recordGraceMs(now)};
 	}
 
 	async #renderMetrics(): Promise<string> {
--- a/src/gateway/site/confirmation-task.ts
+++ b/src/gateway/site/confirmation-task.ts
@@ -10,13 +10,13 @@
 import type {SiteConfirmation} from './types.js';
 
 /** Version of the datagram format. Instances ignore datagrams of any other version. */
-const formatVersion = 1;
+const formatVersion = 2;
 
 const messageKinds = {question: 0, answer: 1} as const;
 
 const messageSchema = z.union([
 	z.tuple([z.literal(formatVersion), z.literal(messageKinds.question), z.number()]),
-	z.tuple([z.literal(formatVersion), z.literal(messageKinds.answer), z.number(), z.string(), z.number().nonnegative()]),
+	z.tuple([z.literal(formatVersion), z.literal(messageKinds.answer), z.number(), z.string(), z.number().nonnegative(), z.number().nonnegative()]),
 ]);
 
 const firstNumberCount = 2 ** 47;
@@ -98,15 +98,15 @@
 		if (message[1] === messageKinds.question) {
 			const own = this.options.ownConfirmation();
 			if (own !== undefined) {
-				this.#send([formatVersion, messageKinds.answer, message[2], own.digest, own.ageMs], sender);
+				this.#send([formatVersion, messageKinds.answer, message[2], own.digest, own.ageMs, own.recordGraceMs], sender);
 			}
 
 			return;
 		}
 
-		const [number, digest, ageMs] = [message[2], message[3], message[4]];
+		const [number, digest, ageMs, recordGraceMs] = [message[2], message[3], message[4], message[5]];
 		if (this.#questions.get(number)?.host === sender) {
-			this.#settle(number, {digest, ageMs});
+			this.#settle(number, {digest, ageMs, recordGraceMs});
 		}
 	}
 
--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -39,6 +39,8 @@
 	readonly changeBoundMs: Milliseconds;
 	/** The instance that reads the store for this one, or undefined when there is none. */
 	readonly findReader: () => string | undefined;
+	/** Other instances that may know whether the store served while this one could not read it. */
+	readonly findWitnesses: () => readonly string[];
 	/** Asks another instance; resolves with undefined when there is no answer in time. */
 	readonly ask: (host: string, timeoutMs: Milliseconds) => Promise<SiteConfirmation | undefined>;
 };
@@ -97,9 +99,7 @@
 		const {clock, state, ask, onRead} = this.options;
 		const askedAt = clock.now();
 		const confirmation = await ask(reader, askTimeoutMs);
-		const isConfirmed = confirmation !== undefined
-			&& confirmation.ageMs <= maximumConfirmationIntervals * this.#intervalMs
-			&& state.confirm(confirmation.digest, askedAt - confirmation.ageMs);
+		const isConfirmed = this.#isRecent(confirmation) && state.confirm(confirmation, askedAt, clock.now());
 		if (isConfirmed) {
 			this.#lastSuccessAt = clock.now();
 			onRead('confirmed', this.#lastSuccessAt - askedAt);
@@ -125,10 +125,11 @@
 		this.#pendingReads++;
 		try {
 			const snapshot = await source.read(readTimeoutMs);
-			const now = clock.now();
-			const changes = state.apply(snapshot, sentAt, now);
-			this.#recordSuccess(now, now - sentAt);
-			onRead('read', now - sentAt);
+			const receivedAt = clock.now();
+			this.#recordSuccess(receivedAt, receivedAt - sentAt);
+			onRead('read', receivedAt - sentAt);
+			const hasStoreServed = state.keepsMissing(snapshot, sentAt, receivedAt) && await this.#hasStoreServed();
+			const changes = state.apply(snapshot, sentAt, clock.now(), hasStoreServed);
 			if (changes.length > 0) {
 				onChanges(changes);
 			}
@@ -140,6 +141,31 @@
 		}
 	}
 
+	/** Asks other instances whether they have read the store without a gap, because a record can't have expired then. */
+	async #hasStoreServed(): Promise<boolean> {
+		const {ask, findWitnesses, log} = this.options;
+		const hosts = findWitnesses();
+		try {
+			const witness = await Promise.any(hosts.map(async host => {
+				const answer = await ask(host, askTimeoutMs);
+				if (!this.#isRecent(answer) || answer.recordGraceMs > 0) {
+					throw new Error(`${host} does not know`);
+				}
+
+				return host;
+			}));
+			log.event('outage-disproved', {dependency: 'store', witness});
+			return true;
+		} catch {
+			log.event('outage-assumed', {dependency: 'store', asked: hosts.join(',')});
+			return false;
+		}
+	}
+
+	#isRecent(confirmation: SiteConfirmation | undefined): confirmation is SiteConfirmation {
+		return confirmation !== undefined && confirmation.ageMs <= maximumConfirmationIntervals * this.#intervalMs;
+	}
+
 	#recordSuccess(now: Milliseconds, durationMs: Milliseconds): void {
 		if (this.#isStoreReachable !== true) {
 			this.options.log.event('dependency-regained', {
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -1,6 +1,8 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {RouteTable} from './route-table.js';
-import type {EndpointRecord, RejectedRecord, SiteSnapshot} from './types.js';
+import type {
+	EndpointRecord, RejectedRecord, SiteConfirmation, SiteSnapshot,
+} from './types.js';
 
 /** How long endpoints without a record are kept after an outage of the store: their records may have expired meanwhile and are written again within about 2,000 ms of its end. */
 const expiredRecordGraceMs = 2000;
@@ -43,6 +45,8 @@
 	#missingIds: ReadonlySet<string> = new Set();
 	/** Time until which endpoints without a record are kept. */
 	#graceUntil: Milliseconds = -Infinity;
+	/** Time from which this process has read the store for long enough to know of an outage that ended just before its start. */
+	#knowsOutagesFrom: Milliseconds = Infinity;
 
 	private constructor() {}
 
@@ -68,34 +72,56 @@
 		return this.#digest;
 	}
 
+	/** Time for which records of live endpoints may still be missing in the store, as far as this process can tell. */
+	recordGraceMs(now: Milliseconds): Milliseconds {
+		return Math.max(0, this.#graceUntil - now, this.#knowsOutagesFrom - now);
+	}
+
 	/**
 	Dates the state by a read of another instance that returned the same content.
 
-	@param confirmedAt an instant no later than the sending of that read
+	@param askedAt when the other instance was asked; its answer is newer
+	@param now when its answer was received
 	@returns false when the content differs, or when this state may change without a change in the store
 	*/
-	confirm(digest: string, confirmedAt: Milliseconds): boolean {
+	confirm({digest, ageMs, recordGraceMs}: SiteConfirmation, askedAt: Milliseconds, now: Milliseconds): boolean {
 		if (this.#confirmedAt === undefined || digest !== this.#digest || this.#missingIds.size > 0) {
 			return false;
 		}
 
-		this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+		if (this.#isAfterGap(now)) {
+			this.#graceUntil = now + recordGraceMs;
+		}
+
+		this.#confirmedAt = Math.max(this.#confirmedAt, askedAt - ageMs);
 		return true;
 	}
 
+	/** Whether `apply` would keep an endpoint without a record because its record may have expired. */
+	keepsMissing(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds): boolean {
+		if (this.#isOutdated(sentAt) || now >= this.#graceEnd(now)) {
+			return false;
+		}
+
+		const recordedIds = new Set(snapshot.endpoints.map(({id}) => id));
+		return [...this.#endpoints.keys()].some(id => !recordedIds.has(id));
+	}
+
 	/**
 	Applies a snapshot. It is ignored when its read was sent before that of the last one, so the state never goes backward.
 
 	@param sentAt when the read was sent
 	@param now when the snapshot was received
+	@param hasStoreServed whether the store is known to have received the heartbeats of the endpoints since the last snapshot, so that no record has expired
 	*/
-	apply(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds): SiteChange[] {
-		if (this.#confirmedAt !== undefined && sentAt <= this.#confirmedAt) {
+	apply(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds, hasStoreServed = false): SiteChange[] {
+		if (this.#isOutdated(sentAt)) {
 			return [];
 		}
 
-		if (this.#confirmedAt !== undefined && now - this.#confirmedAt > outageThresholdMs) {
-			this.#graceUntil = now + expiredRecordGraceMs;
+		this.#graceUntil = hasStoreServed ? -Infinity : this.#graceEnd(now);
+		if (this.#confirmedAt === undefined) {
+			this.#knowsOutagesFrom = now + expiredRecordGraceMs;
 		}
 
 		this.#digest = snapshot.digest;
@@ -113,6 +139,18 @@
 		return changes;
 	}
 
+	#isOutdated(sentAt: Milliseconds): boolean {
+		return this.#confirmedAt !== undefined && sentAt <= this.#confirmedAt;
+	}
+
+	#isAfterGap(now: Milliseconds): boolean {
+		return this.#confirmedAt !== undefined && now - this.#confirmedAt > outageThresholdMs;
+	}
+
+	#graceEnd(now: Milliseconds): Milliseconds {
+		return this.#isAfterGap(now) ? now + expiredRecordGraceMs : this.#graceUntil;
+	}
+
 	#applyConfiguration({configuration}: SiteSnapshot): SiteChange[] {
 		if (configuration === undefined || configuration === this.#routes?.configuration) {
 			return [];
--- a/src/gateway/site/types.ts
+++ b/src/gateway/site/types.ts
@@ -125,4 +125,6 @@
 	readonly digest: string;
 	/** Time since the read that confirmed the state was sent. */
 	readonly ageMs: Milliseconds;
+	/** Time for which records of live endpoints may still be missing in the store, as far as this instance knows; 0 when it has read the store without a gap. */
+	readonly recordGraceMs: Milliseconds;
 };
--- a/test/gateway/site/confirmation-task.test.ts
+++ b/test/gateway/site/confirmation-task.test.ts
@@ -27,8 +27,8 @@
 
 test('an instance answers with the digest and the age of its state', async t => {
 	const asking = await startTask(t);
-	const answering = await startTask(t, {digest: 'd', ageMs: 12.5});
-	t.deepEqual(await asking.task.ask(answering.host, 1000), {digest: 'd', ageMs: 12.5});
+	const answering = await startTask(t, {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
+	t.deepEqual(await asking.task.ask(answering.host, 1000), {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
 });
 
 test('an instance without a state gives no answer', async t => {
@@ -49,13 +49,13 @@
 	});
 	const silent = await startTask(t);
 	const answer = asking.task.ask(silent.host, 150);
-	for (const datagram of [Buffer.from('?'), pack([1, 1, 1, 'forged', 0]), pack([2, 0, 1]), pack([1, 1, 1, 'negative', -1]), pack([1, 0, {}])]) {
+	for (const datagram of [Buffer.from('?'), pack([2, 1, 1, 'forged', 0, 0]), pack([1, 0, 1]), pack([2, 1, 1, 'negative', -1, 0]), pack([2, 1, 1, 'negative', 0, -1]), pack([2, 0, {}])]) {
 		other.send(datagram, port, asking.host);
 	}
 
 	t.is(await answer, undefined);
-	await until(() => asking.memoryLog.linesOf('confirmation-rejected').length >= 4);
-	t.is(asking.memoryLog.linesOf('confirmation-rejected').length, 4);
+	await until(() => asking.memoryLog.linesOf('confirmation-rejected').length >= 5);
+	t.is(asking.memoryLog.linesOf('confirmation-rejected').length, 5);
 });
 
 // Guards against an answer to a process that ran at this address before, which would date the state by a read older than it says.
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -1,9 +1,9 @@
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {SiteReaderTask, type SiteReaderOptions, type SiteSource} from '../../../src/gateway/site/site-reader-task.js';
 import {SiteState, type SiteChange} from '../../../src/gateway/site/site-state.js';
 import type {SiteSnapshot} from '../../../src/gateway/site/types.js';
-import {SystemClock} from '../../../src/shared/clock.js';
-import {createSnapshot} from '../../fixtures/gateway/documents.js';
+import {SystemClock, type Clock} from '../../../src/shared/clock.js';
+import {createConfirmation, createEndpoint, createSnapshot} from '../../fixtures/gateway/documents.js';
 import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
 import {until} from '../../fixtures/until.js';
 
@@ -26,6 +26,7 @@
 		},
 		changeBoundMs: 400,
 		findReader: () => undefined,
+		findWitnesses: () => [],
 		ask: async () => undefined,
 		...options,
 	});
@@ -88,7 +89,7 @@
 
 test('an instance whose state another one confirms reads the store only once', async t => {
 	const {source, calls} = createSource();
-	const {reader, state, reads} = createReader(t, source, {findReader: () => '10.0.0.2', ask: async () => ({digest: 'd', ageMs: 20})});
+	const {reader, state, reads} = createReader(t, source, {findReader: () => '10.0.0.2', ask: async () => createConfirmation({ageMs: 20})});
 	reader.start();
 	await until(() => reads.filter(outcome => outcome === 'confirmed').length >= 4);
 	t.is(calls(), 1);
@@ -98,8 +99,8 @@
 // Guards against an instance that keeps an old configuration because its reader is dead, cut off from the store, or knows something else.
 for (const [what, confirmation] of [
 	['gives no answer', undefined],
-	['knows another content', {digest: 'other', ageMs: 0}],
-	['has lost the store', {digest: 'd', ageMs: 5000}],
+	['knows another content', createConfirmation({digest: 'other'})],
+	['has lost the store', createConfirmation({ageMs: 5000})],
 ] as const) {
 	test(`an instance reads the store itself when its reader ${what}`, async t => {
 		const {source, calls} = createSource();
@@ -122,7 +123,7 @@
 
 			return createSnapshot();
 		},
-	}, {findReader: () => '10.0.0.2', ask: async () => isDown ? undefined : {digest: 'd', ageMs: 0}});
+	}, {findReader: () => '10.0.0.2', ask: async () => isDown ? undefined : createConfirmation()});
 	reader.start();
 	await until(() => reads.filter(outcome => outcome === 'confirmed').length >= 8);
 	isDown = true;
@@ -130,3 +131,48 @@
 	const lastSuccessMs = Number(/lastSuccessMs=(?<ms>\d+)/v.exec(memoryLog.linesOf('dependency-lost')[0]!)!.groups!.ms);
 	t.true(lastSuccessMs < 500, `${lastSuccessMs}`);
 });
+
+/** A store that a reader loses for five seconds, in which the only endpoint leaves. */
+async function loseStore(t: ExecutionContext, options: Partial<SiteReaderOptions>) {
+	let skippedMs = 0;
+	const systemClock = SystemClock.create();
+	const clock: Clock = {now: () => systemClock.now() + skippedMs, wallTime: () => systemClock.wallTime()};
+	let isDown = false;
+	let endpoints = [createEndpoint()];
+	const {reader, state, changes, memoryLog} = createReader(t, {
+		async read() {
+			if (isDown) {
+				throw new Error('status 503');
+			}
+
+			return createSnapshot({endpoints});
+		},
+	}, {clock, ...options});
+	reader.start();
+	await until(() => state.endpoints.size === 1);
+	isDown = true;
+	await until(() => memoryLog.linesOf('dependency-lost').length === 1);
+	endpoints = [];
+	skippedMs = 5000;
+	isDown = false;
+	await until(() => memoryLog.linesOf('dependency-regained').length === 2);
+	await until(() => changes.some(({kind}) => kind.startsWith('endpoint-') && kind !== 'endpoint-added'));
+	return changes.map(({kind}) => kind).filter(kind => kind.startsWith('endpoint-'));
+}
+
+// Guards against requests to an endpoint that left while only this instance could not read the store.
+test('an endpoint that left is removed with the first read when another instance has read the store all the time', async t => {
+	const answers = new Map([['10.0.0.3', createConfirmation({digest: 'other', ageMs: 90})], ['10.0.0.4', createConfirmation({recordGraceMs: 500})]]);
+	t.deepEqual(await loseStore(t, {findWitnesses: () => ['10.0.0.2', '10.0.0.3', '10.0.0.4'], ask: async host => answers.get(host)}), ['endpoint-added', 'endpoint-removed']);
+});
+
+// Guards against an outage of the store that takes all endpoints away, because each instance relies on another that knows no more.
+for (const [what, answer] of [
+	['gives no answer', undefined],
+	['had the outage too', createConfirmation({recordGraceMs: 1500})],
+	['has not read the store recently', createConfirmation({ageMs: 5000})],
+] as const) {
+	test(`an endpoint whose record is missing is kept when every other instance ${what}`, async t => {
+		t.deepEqual(await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => answer}), ['endpoint-added', 'endpoint-missing']);
+	});
+}
--- a/test/gateway/site/site-state.test.ts
+++ b/test/gateway/site/site-state.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava';
 import {SiteState} from '../../../src/gateway/site/site-state.js';
-import {createEndpoint, createSiteConfiguration, createSnapshot} from '../../fixtures/gateway/documents.js';
+import {
+	createConfirmation, createEndpoint, createSiteConfiguration, createSnapshot,
+} from '../../fixtures/gateway/documents.js';
 
 test('the configuration version never decreases', t => {
 	const state = SiteState.create();
@@ -71,13 +73,13 @@
 // Guards against a state that is dated later than the last read of its content, which would let a removed key run.
 test('a confirmation of the same content dates the state, never backward', t => {
 	const state = SiteState.create();
-	t.false(state.confirm('d', 50));
+	t.false(state.confirm(createConfirmation(), 50, 51));
 	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 100, 101);
-	t.false(state.confirm('other', 200));
+	t.false(state.confirm(createConfirmation({digest: 'other'}), 200, 201));
 	t.is(state.confirmedAt, 100);
-	t.true(state.confirm('d', 200));
+	t.true(state.confirm(createConfirmation({ageMs: 10}), 210, 211));
 	t.is(state.confirmedAt, 200);
-	t.true(state.confirm('d', 150));
+	t.true(state.confirm(createConfirmation({ageMs: 70}), 220, 221));
 	t.is(state.confirmedAt, 200);
 });
 
@@ -86,7 +88,36 @@
 	const state = SiteState.create();
 	state.apply(createSnapshot({endpoints: [createEndpoint()], digest: 'all'}), 0, 1);
 	state.apply(createSnapshot({digest: 'none'}), 6000, 6001);
-	t.false(state.confirm('none', 6500));
+	t.false(state.confirm(createConfirmation({digest: 'none'}), 6500, 6501));
 	state.apply(createSnapshot({digest: 'none'}), 8100, 8101);
-	t.true(state.confirm('none', 8500));
+	t.true(state.confirm(createConfirmation({digest: 'none'}), 8500, 8501));
+});
+
+// Guards against an endpoint that has left and is used again by an instance that alone was cut off from the store.
+test('an endpoint that left while others read the store is removed at once', t => {
+	const state = SiteState.create();
+	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
+	t.false(state.keepsMissing(createSnapshot({endpoints: [createEndpoint()]}), 6000, 6001));
+	t.true(state.keepsMissing(createSnapshot(), 6000, 6001));
+	t.deepEqual(state.apply(createSnapshot(), 6000, 6001, true).map(({kind}) => kind), ['endpoint-removed']);
+	t.is(state.recordGraceMs(6001), 0);
+});
+
+// Guards against an instance that vouches for records although it may have missed an outage.
+test('an instance names the time for which records may be missing, after a gap and after its start', t => {
+	const state = SiteState.create();
+	t.is(state.recordGraceMs(0), Infinity);
+	state.apply(createSnapshot(), 0, 1);
+	t.is(state.recordGraceMs(501), 1500);
+	t.is(state.recordGraceMs(2001), 0);
+	state.apply(createSnapshot(), 8000, 8001);
+	t.is(state.recordGraceMs(8001), 2000);
+});
+
+// Guards against an instance that learns of the end of an outage from another one and removes endpoints whose records are not back yet.
+test('an instance whose state is confirmed after a gap keeps endpoints for as long as the other instance does', t => {
+	const state = SiteState.create();
+	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
+	t.true(state.confirm(createConfirmation({recordGraceMs: 1200}), 6000, 6001));
+	t.deepEqual(state.apply(createSnapshot(), 6500, 6501), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 700}]);
 });
