--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,7 +1,9 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {StoreClient, type StoreError} from '../../platform/store-client.js';
 import {PlatformStore} from '../../standins/platform-store.js';
+import {StalledStore} from '../fixtures/gateway/stalled-store.js';
 
 async function createClient(t: {teardown(callback: () => Promise<void>): void}, pageSize = 2): Promise<{store: PlatformStore; client: StoreClient}> {
 	const store = await PlatformStore.listen({pageSize});
@@ -84,3 +86,21 @@
 	await closed;
 	t.true(sentBytes < 64_000_000);
 });
+
+// Guards against reads that hang while a connection is being opened: its packets are sent again only after seconds, so the return of the store is noticed late.
+test('a read does not outlast its time limit while the store accepts no connection', async t => {
+	const store = await StalledStore.listen();
+	const client = StoreClient.create(store.address);
+	t.teardown(async () => {
+		await client.dispose();
+		await store.dispose();
+	});
+	await store.stall();
+	const reads = Promise.allSettled([1, 2, 3].map(async () => client.read(600)));
+	const outcome = await Promise.race([reads, delay(6000, 'pending')]);
+	t.not(outcome, 'pending');
+	t.true((outcome as Array<PromiseSettledResult<unknown>>).every(({status}) => status === 'rejected'));
+	await store.resume();
+	const snapshot = await client.read(5000);
+	t.is(snapshot.revision, 7);
+});
