Remove endpoints without a record when their time ends, not at the read after

After an outage of the store an endpoint without a record is kept for 2 s, and was removed only by the next regular read, up to a quarter of the time in which changes must take effect later (500 ms at 2,000 ms).

Change: the reader reads again when that time ends.

--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -114,9 +114,10 @@
 			return;
 		}
 
+		const {state, clock} = this.options;
 		this.#timer = setTimeout(() => {
 			this.#tick();
-		}, delayMs);
+		}, Math.min(delayMs, Math.ceil(state.removalDueInMs(clock.now()))));
 	}
 
 	async #read(): Promise<void> {
@@ -130,6 +131,10 @@
 			onRead('read', receivedAt - sentAt);
 			const hasStoreServed = state.keepsMissing(snapshot, sentAt, receivedAt) && await this.#hasStoreServed();
 			const changes = state.apply(snapshot, sentAt, clock.now(), hasStoreServed);
+			if (changes.some(({kind}) => kind === 'endpoint-missing')) {
+				this.#schedule(this.#intervalMs);
+			}
+
 			if (changes.length > 0) {
 				onChanges(changes);
 			}
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -72,6 +72,11 @@
 		return this.#digest;
 	}
 
+	/** Time until endpoints without a record are to be removed by a read; Infinity when there are none, or when that time is over. */
+	removalDueInMs(now: Milliseconds): Milliseconds {
+		return this.#missingIds.size > 0 && now < this.#graceUntil ? this.#graceUntil - now : Infinity;
+	}
+
 	/** Time for which records of live endpoints may still be missing in the store, as far as this process can tell. */
 	recordGraceMs(now: Milliseconds): Milliseconds {
 		return Math.max(0, this.#graceUntil - now, this.#knowsOutagesFrom - now);
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {SiteReaderTask, type SiteReaderOptions, type SiteSource} from '../../../src/gateway/site/site-reader-task.js';
 import {SiteState, type SiteChange} from '../../../src/gateway/site/site-state.js';
@@ -157,13 +158,14 @@
 	isDown = false;
 	await until(() => memoryLog.linesOf('dependency-regained').length === 2);
 	await until(() => changes.some(({kind}) => kind.startsWith('endpoint-') && kind !== 'endpoint-added'));
-	return changes.map(({kind}) => kind).filter(kind => kind.startsWith('endpoint-'));
+	return {state, endpointChanges: changes.map(({kind}) => kind).filter(kind => kind.startsWith('endpoint-'))};
 }
 
 // Guards against requests to an endpoint that left while only this instance could not read the store.
 test('an endpoint that left is removed with the first read when another instance has read the store all the time', async t => {
 	const answers = new Map([['10.0.0.3', createConfirmation({digest: 'other', ageMs: 90})], ['10.0.0.4', createConfirmation({recordGraceMs: 500})]]);
-	t.deepEqual(await loseStore(t, {findWitnesses: () => ['10.0.0.2', '10.0.0.3', '10.0.0.4'], ask: async host => answers.get(host)}), ['endpoint-added', 'endpoint-removed']);
+	const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2', '10.0.0.3', '10.0.0.4'], ask: async host => answers.get(host)});
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
 });
 
 // Guards against an outage of the store that takes all endpoints away, because each instance relies on another that knows no more.
@@ -173,6 +175,16 @@
 	['has not read the store recently', createConfirmation({ageMs: 5000})],
 ] as const) {
 	test(`an endpoint whose record is missing is kept when every other instance ${what}`, async t => {
-		t.deepEqual(await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => answer}), ['endpoint-added', 'endpoint-missing']);
+		const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => answer});
+		t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-missing']);
 	});
 }
+
+// Guards against an endpoint that is kept until the next read, which may come much later than the end of its time.
+test('an endpoint whose record does not come back is removed when its time ends, however long the interval of reads is', async t => {
+	// Reads every 4,500 ms.
+	const {state} = await loseStore(t, {changeBoundMs: 18_000});
+	t.is(state.endpoints.size, 1);
+	await Promise.race([until(() => state.endpoints.size === 0), delay(4200)]);
+	t.is(state.endpoints.size, 0);
+});
