Hold instances of the soak to their bounds again after a fault

Cause: three checks of the soak excused an instance for any fault since the change that it must follow, so an instance that had lost the store while an endpoint left was excused for good.

Change: only a fault during the request or in the 3 s before it excuses, as the guarantee states. A new fault lets an endpoint leave while one instance can't read the store, and serve on after its return. The three cases of the checks' test now have an earlier fault, which the checks before took for an excuse.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -63,9 +63,9 @@
 	});
 }
 
-/** Whether an instance had no fault of its own between two times and within `contactLossMs` before. */
-function isInstanceUnaffected({faultPeriods}: History, instance: string, from: Milliseconds, until: Milliseconds): boolean {
-	return !faultPeriods.some(period => period.instance === instance && period.at <= until && period.until >= from - bounds.contactLossMs);
+/** Whether the instance of a request had no fault of its own while it handled the request and within `contactLossMs` before. An earlier fault excuses nothing: the bounds hold again from then on. */
+function isInstanceUnaffected({faultPeriods}: History, {instance, sentAt}: RequestRecord, {receivedAt}: ReceivedRequestRecord): boolean {
+	return !faultPeriods.some(period => period.instance === instance && period.at <= receivedAt && period.until >= sentAt - bounds.contactLossMs);
 }
 
 function isWithoutFaults({faultPeriods}: History, from: Milliseconds, until: Milliseconds): boolean {
@@ -106,14 +106,14 @@
 	'draining-endpoint-unused'(history) {
 		return eventsOf(history, 'endpoint-draining').flatMap(event => findExecutedRequests(history)
 			.filter(({request, received}) => received.endpoint === event.endpoint && received.receivedAt > event.at + bounds.drainingMs
-				&& isInstanceUnaffected(history, request.instance, event.at, received.receivedAt))
+				&& isInstanceUnaffected(history, request, received))
 			.map(({request, received}) => `${request.requestId} reached ${event.endpoint} ${Math.round(received.receivedAt - event.at)} ms after it was set to draining`));
 	},
 	'evacuated-zone-unused'(history) {
 		return eventsOf(history, 'zone-evacuated').flatMap(event => findExecutedRequests(history)
 			.filter(({request, received}) => received.availabilityZone === event.availabilityZone
 				&& received.receivedAt > event.at + bounds.evacuationMs && received.receivedAt < event.until
-				&& isInstanceUnaffected(history, request.instance, event.at, received.receivedAt))
+				&& isInstanceUnaffected(history, request, received))
 			.map(({request, received}) => `${request.requestId} reached ${received.endpoint} in evacuated zone ${event.availabilityZone}`));
 	},
 	'revoked-key-unused'(history) {
@@ -125,7 +125,7 @@
 		return eventsOf(history, 'lookups-moved').flatMap(event => findExecutedRequests(history)
 			.filter(({request, received}) => request.kind === requestKinds.lookup && received.service !== event.service
 				&& request.sentAt > event.at + bounds.configurationMs && request.sentAt < event.until
-				&& isInstanceUnaffected(history, request.instance, event.at, received.receivedAt))
+				&& isInstanceUnaffected(history, request, received))
 			.map(({request, received}) => `${request.requestId} ran at ${received.service}, sent ${Math.round(request.sentAt - event.at)} ms after lookups moved to ${event.service}`));
 	},
 	'versions-grow'({processes}) {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -28,6 +28,9 @@
 const failingRequestCount = 200;
 const failureDurationMs: Milliseconds = 8000;
 
+/** Long enough that the record of an endpoint that drains meanwhile is gone. */
+const drainUnreadMs: Milliseconds = 8000;
+
 type Fault = (site: SoakSite, random: RandomSource) => Promise<void>;
 
 /** Records the period of a fault. */
@@ -169,6 +172,15 @@
 		site.revokeKey();
 		await outage;
 	},
+	/** An instance that could not read the store while an endpoint left must not use it later; the endpoint still serves then. */
+	async drainUnread(site, random) {
+		const endpoint = random.pick(findRemovableEndpoints(site));
+		if (endpoint !== undefined) {
+			const outage = applyStoreFault(site, [random.pick(site.instances)!], pickConnectionFault(random, delayRanges.store), drainUnreadMs);
+			await delay(500);
+			await Promise.all([site.drainEndpoint(endpoint, drainUnreadMs + bounds.contactLossMs), outage]);
+		}
+	},
 	/** All lookups fail, so that each of them could be retried. */
 	async failingLookups(site) {
 		await recordFaultPeriod(site, {kind: 'endpoint-answers'}, async () => {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -210,8 +210,12 @@
 		this.#writeEndpointRecord(endpoint);
 	}
 
-	/** Drains an endpoint and removes it; a new one replaces it. */
-	async drainEndpoint(endpoint: SoakEndpoint): Promise<void> {
+	/**
+	Drains an endpoint and removes it; a new one replaces it.
+
+	@param servesForMs time for which it continues to serve after its record is gone
+	*/
+	async drainEndpoint(endpoint: SoakEndpoint, servesForMs: Milliseconds = 0): Promise<void> {
 		endpoint.isBusy = true;
 		this.#writeEndpointRecord(endpoint, {state: 'draining'});
 		this.events.push({kind: 'endpoint-draining', endpoint: endpoint.id, at: performance.now()});
@@ -219,6 +223,7 @@
 		await delay(bounds.drainingMs + lingerMs);
 		this.store.remove(`servers/${endpoint.id}`);
 		this.endpoints = this.endpoints.filter(other => other !== endpoint);
+		await delay(servesForMs);
 		await endpoint.standIn.dispose();
 	}
 
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -65,7 +65,7 @@
 		kept: {requests: [createRequest({kind: 'booking', status: 502})]},
 	},
 	'draining-endpoint-unused': {
-		broken: {events: [draining]},
+		broken: {events: [{...draining, at: 5000}], faultPeriods: [{...storeFault, at: 4000, until: 6900}]},
 		kept: {events: [draining], faultPeriods: [storeFault]},
 	},
 	'evacuated-zone-unused': {
@@ -73,6 +73,7 @@
 			events: [{
 				kind: 'zone-evacuated', availabilityZone: 'a', at: 5000, until: 20_000,
 			}],
+			faultPeriods: [{...storeFault, at: 4000, until: 6900}],
 		},
 		kept: {
 			events: [{
@@ -89,6 +90,7 @@
 			events: [{
 				kind: 'lookups-moved', service: 'calendars', at: 7000, until: Infinity,
 			}],
+			faultPeriods: [{...storeFault, at: 4000, until: 6900}],
 		},
 		kept: {
 			events: [{
