Wait for the first bytes of a response in the tests of the caller server

Beside load (20 to 25 on 8 cores) 25 checks failed in 4 of 12 runs of three test files, all with a response that had not come by then.

Change: 400 ms count from the first bytes or the end of the connection; the first bytes may take 10 s. No assertion changes.

--- a/test/gateway/callers/caller-server.test.ts
+++ b/test/gateway/callers/caller-server.test.ts
@@ -14,8 +14,11 @@
 	return {endpoint, site, gateway: await site.addGateway()};
 }
 
-/** Sends text over a new connection and returns everything that is received until it closes or 400 ms have passed. */
-async function exchange({settings}: Gateway, text: string): Promise<string> {
+/** Time for which more is awaited after the first bytes: a second response, or a request that must not be taken for one. */
+const quietMs = 400;
+
+/** Sends text over a new connection and returns everything that is received until it closes or has been quiet for a while. */
+async function exchange({settings}: Gateway, text: string, firstBytesTimeoutMs = 10_000): Promise<string> {
 	const socket = connect(settings.callerAddress);
 	const chunks: Uint8Array[] = [];
 	socket.on('data', (chunk: Uint8Array) => {
@@ -24,10 +27,15 @@
 	socket.on('error', () => {
 		// A reset ends the exchange like a graceful close.
 	});
-	socket.write(text);
-	await Promise.race([delay(400), new Promise(resolve => {
+	const closed = new Promise(resolve => {
 		socket.once('close', resolve);
-	})]);
+	});
+	const answered = new Promise(resolve => {
+		socket.once('data', resolve);
+	});
+	socket.write(text);
+	await Promise.race([closed, answered, delay(firstBytesTimeoutMs)]);
+	await Promise.race([closed, delay(quietMs)]);
 	socket.destroy();
 	return Buffer.concat(chunks).toString();
 }
@@ -111,7 +119,7 @@
 for (const [what, text] of unusual) {
 	test(`a request with ${what} does not disturb the next one`, async t => {
 		const {endpoint, gateway} = await startSite(t);
-		await exchange(gateway, `${text}X-Request-Id: odd\r\nAuthorization: Bearer key-wick\r\n\r\n`);
+		await exchange(gateway, `${text}X-Request-Id: odd\r\nAuthorization: Bearer key-wick\r\n\r\n`, quietMs);
 		t.like(await call(gateway, {
 			path: '/bookings/1', method: 'POST', body: 'x', headers: {'x-request-id': 'next'},
 		}), {status: 200, body: 'answer to next'});
