Read requests that have arrived before a stopping process closes connections

Cause: the process had been too busy to read for up to 2 s. When it ran again, its timers came first: the time in which it accepts was over and no request was open, so it closed the listener and all connections without a request. Those whose request lay unread, or that were not accepted yet, were reset.

Change: before connections are closed, three rounds of the event loop accept what waits, read it and answer it; so does the closing of idle connections after three seconds. Both programs use it.

--- a/src/entry/callers/caller-server.ts
+++ b/src/entry/callers/caller-server.ts
@@ -7,7 +7,7 @@
 	createFailure, FailureError, outcomes, toProblemDocument, type Failure, type Outcome,
 } from '../../shared/failure.js';
 import type {Logger} from '../../shared/log.js';
-import {closeAfterAccepting} from '../../shared/listen.js';
+import {closeAfterReading} from '../../shared/listen.js';
 import {PrefixBlockHasher} from '../../shared/prefix-blocks.js';
 import type {Mailbox} from '../../shared/message-loop.js';
 import {withoutHopByHopHeaders} from '../dispatch/headers.js';
@@ -162,7 +162,7 @@
 	async stopAccepting(): Promise<void> {
 		const server = this.#server?.node?.server as Server | undefined;
 		if (server !== undefined) {
-			await closeAfterAccepting(server);
+			await closeAfterReading(server);
 		}
 	}
 
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -5,7 +5,7 @@
 import type {SocketAddress} from '../../shared/address.js';
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {describeError} from '../../shared/describe-error.js';
-import {closeAfterAccepting, listen} from '../../shared/listen.js';
+import {closeAfterReading, listen, readArrivedRequests} from '../../shared/listen.js';
 import type {EventLog} from '../observability/event-log.js';
 import type {CallerLimits} from '../site/types.js';
 import {HttpResponse} from './http-response.js';
@@ -103,14 +103,15 @@
 		this.#isStopping = true;
 	}
 
-	/** Closes connections without a request. */
-	closeIdleConnections(): void {
+	/** Closes connections without a request, once those that have arrived are read. */
+	async closeIdleConnections(): Promise<void> {
+		await readArrivedRequests();
 		this.#server.closeIdleConnections();
 	}
 
-	/** Stops accepting and closes connections without a request. */
+	/** Stops accepting and closes connections without a request, once those that have arrived are read. */
 	async close(): Promise<void> {
-		await closeAfterAccepting(this.#server);
+		await closeAfterReading(this.#server);
 	}
 
 	closeAllConnections(): void {
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -216,7 +216,7 @@
 		this.#callerServer.beginStop();
 		// A caller whose idle connection is closed reconnects to another instance; a later request on the connection would have to be refused.
 		setTimeout(() => {
-			this.#callerServer.closeIdleConnections();
+			void this.#callerServer.closeIdleConnections();
 		}, acceptAfterStopMs).unref();
 		const endAt = stopAt + settings.bounds.stopGraceMs - stopMarginMs;
 		await this.#waitUntil(() => clock.now() >= endAt || (clock.now() - stopAt >= acceptAfterStopMs && this.#callerServer.openRequests === 0));
--- a/src/shared/listen.ts
+++ b/src/shared/listen.ts
@@ -1,4 +1,5 @@
 import type {Server} from 'node:http';
+import {setImmediate} from 'node:timers/promises';
 import type {SocketAddress} from './address.js';
 
 export type ListenAddress = SocketAddress & {
@@ -21,18 +22,29 @@
 	});
 }
 
+/** Rounds of the event loop in which everything that has arrived is handled: the first one accepts connections, the second one reads their requests, the third one the bodies that follow. */
+const readingRounds = 3;
+
+/** Resolves when connections and requests that have already arrived have been accepted and read. A busy process may not have read anything for seconds. */
+export async function readArrivedRequests(): Promise<void> {
+	for (let round = 0; round < readingRounds; round++) {
+		// An immediate runs right after the phase of the event loop that accepts and reads.
+		// eslint-disable-next-line no-await-in-loop
+		await setImmediate();
+	}
+}
+
 /**
 Closes a server and its connections without a request. Resolves when all connections have ended.
 
-Connections that wait to be accepted are accepted first, because closing the listener would reset them. An immediate runs right after the phase of the event loop that accepts them.
+Requests that have already arrived are read first, because closing their connections, or the listener before it accepts them, would reset them.
 */
-export async function closeAfterAccepting(server: Server): Promise<void> {
+export async function closeAfterReading(server: Server): Promise<void> {
+	await readArrivedRequests();
 	return new Promise(resolve => {
-		setImmediate(() => {
-			server.close(() => {
-				resolve();
-			});
-			server.closeIdleConnections();
+		server.close(() => {
+			resolve();
 		});
+		server.closeIdleConnections();
 	});
 }
