Count answers to questions between instances that arrived while it was busy

Cause: an instance that asks another for the age of its state gives up after 150 ms. After a longer delay of its own event loop the timer runs before the answer is read, although it has arrived; the instance then reads the whole store itself, at each interval, which costs it more time.

Change: when the time is over, the datagrams that have arrived are read before the question counts as unanswered.

--- a/src/gateway/site/confirmation-task.ts
+++ b/src/gateway/site/confirmation-task.ts
@@ -76,13 +76,16 @@
 		});
 	}
 
-	/** Asks an instance. Resolves with undefined when there is no answer within the timeout. */
+	/** Asks an instance. Resolves with undefined when no answer has arrived within the timeout. */
 	async ask(host: string, timeoutMs: Milliseconds): Promise<SiteConfirmation | undefined> {
 		this.#lastNumber++;
 		const number = this.#lastNumber;
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
-				this.#settle(number, undefined);
+				// After a delay of this process, timers run before the datagrams that have arrived meanwhile are read.
+				setImmediate(() => {
+					this.#settle(number, undefined);
+				});
 			}, timeoutMs);
 			this.#questions.set(number, {host, resolve, timer});
 			this.#send([formatVersion, messageKinds.question, number], host);
--- a/test/gateway/site/confirmation-task.test.ts
+++ b/test/gateway/site/confirmation-task.test.ts
@@ -1,6 +1,9 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
 import process from 'node:process';
+import {setImmediate} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import test, {type ExecutionContext} from 'ava';
 import {pack, unpack} from 'msgpackr';
 import {ConfirmationTask} from '../../../src/gateway/site/confirmation-task.js';
@@ -81,3 +84,32 @@
 	await until(() => numbers.length === 2);
 	t.is(new Set(numbers).size, 2);
 });
+
+/** An instance in a thread of its own that answers each question at once. */
+const answeringProgram = String.raw`
+const {createSocket} = require('node:dgram');
+const {pack, unpack} = require('msgpackr');
+const {parentPort, workerData: {host, port}} = require('node:worker_threads');
+const socket = createSocket('udp4');
+socket.on('message', (datagram, sender) => {
+	const [version, , number] = unpack(datagram);
+	socket.send(pack([version, 1, number, 'd', 5, 0]), sender.port, sender.address);
+});
+socket.bind(port, host, () => parentPort.postMessage('bound'));
+`;
+
+// Guards against a busy instance that takes answers which it has not read yet for missing, and reads the store at each interval, which makes it busier.
+test('an answer that arrived while this instance was busy counts', async t => {
+	const host = '127.77.0.252';
+	const worker = new Worker(answeringProgram, {eval: true, workerData: {host, port}});
+	t.teardown(async () => {
+		await worker.terminate();
+	});
+	await once(worker, 'message');
+	const {task} = await startTask(t);
+	t.deepEqual(await task.ask(host, 5000), {digest: 'd', ageMs: 5, recordGraceMs: 0});
+	const answer = task.ask(host, 50);
+	await setImmediate();
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+	t.deepEqual(await answer, {digest: 'd', ageMs: 5, recordGraceMs: 0});
+});
