Read only the records when another instance confirms the configuration

Cause: at 22 s the configuration grows by 1,520 routes, from 23 s on endpoints leave and are replaced. For each change of an endpoint's record every instance read the whole store, configuration included, over links of 7 to 140 Mbit/s. A read took 0.9 s to 1.5 s, overlapping ones timed out (`dependency-lost` of five instances between 27.4 s and 27.9 s, `confirmedAgeMs` up to 5 s at 30 s).

Change: confirmations between instances also hold a digest of the configuration alone. If it is the own one, an instance reads only evacuations and endpoints (the keys after that of the configuration), and its state is dated by the older of that read and the confirmation. If a read that ended meanwhile has brought another configuration, the records are not applied, and the next tick decides.

New tests: the choice between the two reads, the date, a configuration that is not the confirmed one, the digest of a read of the records.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -400,9 +400,13 @@
 	}
 
 	#ownConfirmation(): SiteConfirmation | undefined {
-		const {digest, confirmedAt} = this.#site;
+		const {digest, configurationDigest, confirmedAt} = this.#site;
 		const now = this.options.freshnessClock.now();
-		return digest === undefined || confirmedAt === undefined ? undefined : {digest, ageMs: now - confirmedAt, recordGraceMs: this.#site.recordGraceMs(now)};
+		return digest === undefined || configurationDigest === undefined || confirmedAt === undefined
+			? undefined
+			: {
+				digest, configurationDigest, ageMs: now - confirmedAt, recordGraceMs: this.#site.recordGraceMs(now),
+			};
 	}
 
 	async #renderMetrics(): Promise<string> {
--- a/src/gateway/site/confirmation-task.ts
+++ b/src/gateway/site/confirmation-task.ts
@@ -16,7 +16,7 @@
 
 const messageSchema = z.union([
 	z.tuple([z.literal(formatVersion), z.literal(messageKinds.question), z.number()]),
-	z.tuple([z.literal(formatVersion), z.literal(messageKinds.answer), z.number(), z.string(), z.number().nonnegative(), z.number().nonnegative()]),
+	z.tuple([z.literal(formatVersion), z.literal(messageKinds.answer), z.number(), z.string(), z.string(), z.number().nonnegative(), z.number().nonnegative()]),
 ]);
 
 const firstNumberCount = 2 ** 47;
@@ -101,15 +101,17 @@
 		if (message[1] === messageKinds.question) {
 			const own = this.options.ownConfirmation();
 			if (own !== undefined) {
-				this.#send([formatVersion, messageKinds.answer, message[2], own.digest, own.ageMs, own.recordGraceMs], sender);
+				this.#send([formatVersion, messageKinds.answer, message[2], own.digest, own.configurationDigest, own.ageMs, own.recordGraceMs], sender);
 			}
 
 			return;
 		}
 
-		const [number, digest, ageMs, recordGraceMs] = [message[2], message[3], message[4], message[5]];
+		const [number, digest, configurationDigest, ageMs, recordGraceMs] = [message[2], message[3], message[4], message[5], message[6]];
 		if (this.#questions.get(number)?.host === sender) {
-			this.#settle(number, {digest, ageMs, recordGraceMs});
+			this.#settle(number, {
+				digest, configurationDigest, ageMs, recordGraceMs,
+			});
 		}
 	}
 
--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -26,6 +26,19 @@
 export type SiteSource = {
 	/** @throws {Error} when the read fails */
 	read(timeoutMs: Milliseconds): Promise<SiteSnapshot>;
+	/**
+	Reads all but the configuration. That of the snapshot is the one that was read last.
+
+	@throws {Error} when the read fails
+	*/
+	readRecords(timeoutMs: Milliseconds): Promise<SiteSnapshot>;
+};
+
+/** A configuration that another instance has confirmed. */
+type ConfirmedConfiguration = {
+	readonly digest: string;
+	/** An instant no later than the sending of the read that confirmed it. */
+	readonly confirmedAt: Milliseconds;
 };
 
 export type SiteReaderOptions = {
@@ -88,24 +101,25 @@
 	}
 
 	async #refresh(): Promise<void> {
-		const reader = this.options.state.confirmedAt === undefined ? undefined : this.options.findReader();
-		if (reader === undefined || !await this.#isConfirmedBy(reader)) {
+		const {clock, state, findReader, ask, onRead} = this.options;
+		const reader = state.confirmedAt === undefined ? undefined : findReader();
+		if (reader === undefined) {
 			await this.#read();
+			return;
 		}
-	}
 
-	/** Has the state confirmed by another instance. Returns false when it gives no recent confirmation of the same content. */
-	async #isConfirmedBy(reader: string): Promise<boolean> {
-		const {clock, state, ask, onRead} = this.options;
 		const askedAt = clock.now();
 		const confirmation = await ask(reader, askTimeoutMs);
-		const isConfirmed = this.#isRecent(confirmation) && state.confirm(confirmation, askedAt, clock.now());
-		if (isConfirmed) {
+		if (!this.#isRecent(confirmation)) {
+			await this.#read();
+		} else if (state.confirm(confirmation, askedAt, clock.now())) {
 			this.#lastSuccessAt = clock.now();
 			onRead('confirmed', this.#lastSuccessAt - askedAt);
+		} else if (confirmation.configurationDigest === state.configurationDigest) {
+			await this.#read({digest: confirmation.configurationDigest, confirmedAt: askedAt - confirmation.ageMs});
+		} else {
+			await this.#read();
 		}
-
-		return isConfirmed;
 	}
 
 	#schedule(delayMs: Milliseconds): void {
@@ -120,17 +134,24 @@
 		}, Math.min(delayMs, Math.ceil(state.removalDueInMs(clock.now()))));
 	}
 
-	async #read(): Promise<void> {
+	/** @param confirmed the configuration, if only the other records are to be read; the state is then dated by the older of the two */
+	async #read(confirmed?: ConfirmedConfiguration): Promise<void> {
 		const {source, state, clock, onChanges, onRead} = this.options;
 		const sentAt = clock.now();
 		this.#pendingReads++;
 		try {
-			const snapshot = await source.read(readTimeoutMs);
+			const snapshot = confirmed === undefined ? await source.read(readTimeoutMs) : await source.readRecords(readTimeoutMs);
 			const receivedAt = clock.now();
 			this.#recordSuccess(receivedAt, receivedAt - sentAt);
 			onRead('read', receivedAt - sentAt);
-			const hasStoreServed = state.keepsMissing(snapshot, sentAt, receivedAt) && await this.#hasStoreServed();
-			const changes = state.apply(snapshot, sentAt, clock.now(), hasStoreServed);
+			// A read that ended meanwhile may have brought another configuration.
+			if (confirmed !== undefined && snapshot.configurationDigest !== confirmed.digest) {
+				return;
+			}
+
+			const datedAt = Math.min(sentAt, confirmed?.confirmedAt ?? Infinity);
+			const hasStoreServed = state.keepsMissing(snapshot, datedAt, receivedAt) && await this.#hasStoreServed();
+			const changes = state.apply(snapshot, datedAt, clock.now(), hasStoreServed);
 			if (changes.some(({kind}) => kind === 'endpoint-missing')) {
 				this.#schedule(this.#intervalMs);
 			}
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -41,6 +41,7 @@
 	#rejected = new Map<string, string>();
 	#confirmedAt: Milliseconds | undefined;
 	#digest: string | undefined;
+	#configurationDigest: string | undefined;
 	/** Endpoints that are kept without a record, so that a later read may change the state without a change in the store. */
 	#missingIds: ReadonlySet<string> = new Set();
 	/** Time until which endpoints without a record are kept. */
@@ -72,6 +73,11 @@
 		return this.#digest;
 	}
 
+	/** Digest of the configuration in the last snapshot. */
+	get configurationDigest(): string | undefined {
+		return this.#configurationDigest;
+	}
+
 	/** Time until endpoints without a record are to be removed by a read; Infinity when there are none, or when that time is over. */
 	removalDueInMs(now: Milliseconds): Milliseconds {
 		return this.#missingIds.size > 0 && now < this.#graceUntil ? this.#graceUntil - now : Infinity;
@@ -130,6 +136,7 @@
 		}
 
 		this.#digest = snapshot.digest;
+		this.#configurationDigest = snapshot.configurationDigest;
 		const changes = [
 			...this.#applyConfiguration(snapshot),
 			...this.#applyEndpoints(snapshot, now),
--- a/src/gateway/site/types.ts
+++ b/src/gateway/site/types.ts
@@ -118,11 +118,14 @@
 	readonly revision: number;
 	/** Equal for reads with the same content, at whichever instance. */
 	readonly digest: string;
+	/** The same for the configuration alone. */
+	readonly configurationDigest: string;
 };
 
 /** What an instance knows of the site, in a few bytes: another instance whose state has the same digest can take over its date. */
 export type SiteConfirmation = {
 	readonly digest: string;
+	readonly configurationDigest: string;
 	/** Time since the read that confirmed the state was sent. */
 	readonly ageMs: Milliseconds;
 	/** Time for which records of live endpoints may still be missing in the store, as far as this instance knows; 0 when it has read the store without a gap. */
--- a/test/gateway/site/confirmation-task.test.ts
+++ b/test/gateway/site/confirmation-task.test.ts
@@ -9,6 +9,7 @@
 import {ConfirmationTask} from '../../../src/gateway/site/confirmation-task.js';
 import type {SiteConfirmation} from '../../../src/gateway/site/types.js';
 import {SystemClock} from '../../../src/shared/clock.js';
+import {createConfirmation} from '../../fixtures/gateway/documents.js';
 import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
 import {until} from '../../fixtures/until.js';
 
@@ -30,8 +31,8 @@
 
 test('an instance answers with the digest and the age of its state', async t => {
 	const asking = await startTask(t);
-	const answering = await startTask(t, {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
-	t.deepEqual(await asking.task.ask(answering.host, 1000), {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
+	const answering = await startTask(t, createConfirmation({ageMs: 12.5, recordGraceMs: 250}));
+	t.deepEqual(await asking.task.ask(answering.host, 1000), createConfirmation({ageMs: 12.5, recordGraceMs: 250}));
 });
 
 test('an instance without a state gives no answer', async t => {
@@ -52,7 +53,7 @@
 	});
 	const silent = await startTask(t);
 	const answer = asking.task.ask(silent.host, 150);
-	for (const datagram of [Buffer.from('?'), pack([2, 1, 1, 'forged', 0, 0]), pack([1, 0, 1]), pack([2, 1, 1, 'negative', -1, 0]), pack([2, 1, 1, 'negative', 0, -1]), pack([2, 0, {}])]) {
+	for (const datagram of [Buffer.from('?'), pack([2, 1, 1, 'forged', 'c', 0, 0]), pack([1, 0, 1]), pack([2, 1, 1, 'negative', 'c', -1, 0]), pack([2, 1, 1, 'negative', 'c', 0, -1]), pack([2, 0, {}])]) {
 		other.send(datagram, port, asking.host);
 	}
 
@@ -93,7 +94,7 @@
 const socket = createSocket('udp4');
 socket.on('message', (datagram, sender) => {
 	const [version, , number] = unpack(datagram);
-	socket.send(pack([version, 1, number, 'd', 5, 0]), sender.port, sender.address);
+	socket.send(pack([version, 1, number, 'd', 'c', 5, 0]), sender.port, sender.address);
 });
 socket.bind(port, host, () => parentPort.postMessage('bound'));
 `;
@@ -107,9 +108,9 @@
 	});
 	await once(worker, 'message');
 	const {task} = await startTask(t);
-	t.deepEqual(await task.ask(host, 5000), {digest: 'd', ageMs: 5, recordGraceMs: 0});
+	t.deepEqual(await task.ask(host, 5000), createConfirmation({ageMs: 5}));
 	const answer = task.ask(host, 50);
 	await setImmediate();
 	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
-	t.deepEqual(await answer, {digest: 'd', ageMs: 5, recordGraceMs: 0});
+	t.deepEqual(await answer, createConfirmation({ageMs: 5}));
 });
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -8,14 +8,21 @@
 import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
 import {until} from '../../fixtures/until.js';
 
-function createReader(t: {teardown(callback: () => Promise<void>): void}, source: SiteSource, options: Partial<SiteReaderOptions> = {}) {
+function createReader(t: {teardown(callback: () => Promise<void>): void}, source: Pick<SiteSource, 'read'> & Partial<SiteSource>, options: Partial<SiteReaderOptions> = {}) {
 	const clock = SystemClock.create();
 	const memoryLog = MemoryLog.create(clock);
-	const state = SiteState.create();
+	const state = options.state ?? SiteState.create();
 	const changes: SiteChange[] = [];
 	const reads: string[] = [];
 	const reader = SiteReaderTask.create({
-		source,
+		source: {
+			async read(timeoutMs) {
+				return source.read(timeoutMs);
+			},
+			async readRecords(timeoutMs) {
+				return source.readRecords?.(timeoutMs) ?? source.read(timeoutMs);
+			},
+		},
 		state,
 		clock,
 		log: memoryLog.log,
@@ -75,7 +82,7 @@
 	t.not(state.confirmedAt, undefined);
 });
 
-function createSource(): {readonly source: SiteSource; calls(): number} {
+function createSource(): {readonly source: Pick<SiteSource, 'read'>; calls(): number} {
 	let calls = 0;
 	return {
 		source: {
@@ -188,3 +195,62 @@
 	await Promise.race([until(() => state.endpoints.size === 0), delay(4200)]);
 	t.is(state.endpoints.size, 0);
 });
+
+/** A reader whose state another instance confirms in part: its records differ, and its configuration as given. */
+async function readAfterChange(t: ExecutionContext, {confirmed, held}: {confirmed: string; held: string}) {
+	const calls: string[] = [];
+	const {reader, changes} = createReader(t, {
+		async read() {
+			calls.push('all');
+			return createSnapshot();
+		},
+		async readRecords() {
+			calls.push('records');
+			return createSnapshot({endpoints: [createEndpoint()], digest: 'changed', configurationDigest: held});
+		},
+	}, {findReader: () => '10.0.0.2', ask: async () => createConfirmation({digest: 'changed', configurationDigest: confirmed, ageMs: 20})});
+	reader.start();
+	await until(() => calls.length >= 3);
+	return {calls, changes};
+}
+
+// Guards against instances that all read a large configuration again for each change of an endpoint, which fills their links and delays the change.
+test('an instance reads only the records when another one confirms its configuration', async t => {
+	const {calls, changes} = await readAfterChange(t, {confirmed: 'c', held: 'c'});
+	t.deepEqual(new Set(calls.slice(1)), new Set(['records']));
+	t.true(changes.some(({kind}) => kind === 'endpoint-added'));
+});
+
+test('an instance reads everything when the other one has another configuration', async t => {
+	const {calls} = await readAfterChange(t, {confirmed: 'other', held: 'c'});
+	t.deepEqual(new Set(calls), new Set(['all']));
+});
+
+// Guards against a state that is dated by the confirmation of one configuration and holds another.
+test('records are not applied when the configuration that was read last is not the confirmed one', async t => {
+	const {calls, changes} = await readAfterChange(t, {confirmed: 'c', held: 'other'});
+	t.true(calls.includes('records'));
+	t.deepEqual(changes.map(({kind}) => kind), ['configuration']);
+});
+
+// Guards against a state that is dated later than the confirmation of its configuration, which would let a removed key run.
+test('a state whose records were read is dated by the older confirmation of its configuration', async t => {
+	const dates: number[] = [];
+	const {reader, state} = createReader(t, {
+		async read() {
+			return createSnapshot();
+		},
+		async readRecords() {
+			return createSnapshot({digest: 'changed'});
+		},
+	}, {
+		findReader: () => '10.0.0.2',
+		async ask() {
+			dates.push(performance.now());
+			return createConfirmation({digest: 'changed', ageMs: 60});
+		},
+	});
+	reader.start();
+	await until(() => state.digest === 'changed');
+	t.true(state.confirmedAt! <= dates.at(-1)! - 60, `${state.confirmedAt} ${dates.join(',')}`);
+});
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {StoreClient, type StoreError} from '../../platform/store-client.js';
+import {createConfigurationDocument, createEndpointDocument} from '../../standins/platform-documents.js';
 import {PlatformStore} from '../../standins/platform-store.js';
 import {StalledStore} from '../fixtures/gateway/stalled-store.js';
 
@@ -104,3 +105,23 @@
 	const snapshot = await client.read(5000);
 	t.is(snapshot.revision, 7);
 });
+
+// Guards against reads of a large configuration that has not changed.
+test('a read of the records keeps the configuration that was read last, and has the same digest', async t => {
+	const {store, client} = await createClient(t);
+	store.put('op/config', createConfigurationDocument());
+	store.put('servers/e1', createEndpointDocument({service: 'engines', address: '127.0.0.1:1'}));
+	store.put('servers/e2', createEndpointDocument({service: 'engines', address: '127.0.0.1:2'}));
+	const all = await client.read(1000);
+	t.is(all.endpoints.length, 2);
+	const records = await client.readRecords(1000);
+	t.deepEqual({...records, revision: all.revision}, all);
+	store.remove('servers/e1');
+	store.put('op/evacuate/a', {});
+	const changed = await client.readRecords(1000);
+	t.is(changed.configuration, all.configuration);
+	t.deepEqual([...changed.evacuatedZones], ['a']);
+	t.deepEqual(changed.endpoints.map(({id}) => id), ['e2']);
+	const changedAll = await client.read(1000);
+	t.is(changed.digest, changedAll.digest);
+});
