Begin no read of the store while the response to another one arrives

Cause: an instance that reads the store itself begins a read at each tick, up to three at a time, so that one without a response does not delay the next.

Change: no read is begun while bytes of another response arrive. Reads without a response overlap as before.

The new test has a response that takes 1,200 ms: three reads before, one after.

--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -24,6 +24,8 @@
 const maximumPendingReads = 3;
 
 export type SiteSource = {
+	/** Whether the response to a read is arriving. */
+	readonly isReceiving: boolean;
 	/** @throws {Error} when the read fails */
 	read(timeoutMs: Milliseconds): Promise<SiteSnapshot>;
 	/**
@@ -93,7 +95,8 @@
 	}
 
 	#tick(): void {
-		if (this.#pendingReads < maximumPendingReads) {
+		// Another read would share the link with the one that is arriving, and delay both.
+		if (this.#pendingReads < maximumPendingReads && !this.options.source.isReceiving) {
 			void this.#refresh();
 		}
 
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -22,6 +22,9 @@
 			async readRecords(timeoutMs) {
 				return source.readRecords?.(timeoutMs) ?? source.read(timeoutMs);
 			},
+			get isReceiving() {
+				return source.isReceiving ?? false;
+			},
 		},
 		state,
 		clock,
@@ -254,3 +257,22 @@
 	await until(() => state.digest === 'changed');
 	t.true(state.confirmedAt! <= dates.at(-1)! - 60, `${state.confirmedAt} ${dates.join(',')}`);
 });
+
+// Guards against overlapping reads of a large configuration that share a slow link until all of them time out.
+test('no other read is begun while a response arrives', async t => {
+	let calls = 0;
+	const source = {
+		isReceiving: false,
+		async read(): Promise<SiteSnapshot> {
+			calls++;
+			source.isReceiving = true;
+			await delay(1200);
+			source.isReceiving = false;
+			return createSnapshot();
+		},
+	};
+	const {reader, state} = createReader(t, source);
+	reader.start();
+	await until(() => state.confirmedAt !== undefined);
+	t.is(calls, 1);
+});
