--- a/test/gateway/site/confirmation-task.test.ts
+++ b/test/gateway/site/confirmation-task.test.ts
@@ -1,11 +1,15 @@
 import {Buffer} from 'node:buffer';
 import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
 import process from 'node:process';
+import {setImmediate} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import test, {type ExecutionContext} from 'ava';
 import {pack, unpack} from 'msgpackr';
 import {ConfirmationTask} from '../../../src/gateway/site/confirmation-task.js';
 import type {SiteConfirmation} from '../../../src/gateway/site/types.js';
 import {SystemClock} from '../../../src/shared/clock.js';
+import {createConfirmation} from '../../fixtures/gateway/documents.js';
 import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
 import {until} from '../../fixtures/until.js';
 
@@ -27,8 +31,8 @@
 
 test('an instance answers with the digest and the age of its state', async t => {
 	const asking = await startTask(t);
-	const answering = await startTask(t, {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
-	t.deepEqual(await asking.task.ask(answering.host, 1000), {digest: 'd', ageMs: 12.5, recordGraceMs: 250});
+	const answering = await startTask(t, createConfirmation({ageMs: 12.5, recordGraceMs: 250}));
+	t.deepEqual(await asking.task.ask(answering.host, 1000), createConfirmation({ageMs: 12.5, recordGraceMs: 250}));
 });
 
 test('an instance without a state gives no answer', async t => {
@@ -49,7 +53,7 @@
 	});
 	const silent = await startTask(t);
 	const answer = asking.task.ask(silent.host, 150);
-	for (const datagram of [Buffer.from('?'), pack([2, 1, 1, 'forged', 0, 0]), pack([1, 0, 1]), pack([2, 1, 1, 'negative', -1, 0]), pack([2, 1, 1, 'negative', 0, -1]), pack([2, 0, {}])]) {
+	for (const datagram of [Buffer.from('?'), pack([2, 1, 1, 'forged', 'c', 0, 0]), pack([1, 0, 1]), pack([2, 1, 1, 'negative', 'c', -1, 0]), pack([2, 1, 1, 'negative', 'c', 0, -1]), pack([2, 0, {}])]) {
 		other.send(datagram, port, asking.host);
 	}
 
@@ -81,3 +85,32 @@
 	await until(() => numbers.length === 2);
 	t.is(new Set(numbers).size, 2);
 });
+
+/** An instance in a thread of its own that answers each question at once. */
+const answeringProgram = String.raw`
+const {createSocket} = require('node:dgram');
+const {pack, unpack} = require('msgpackr');
+const {parentPort, workerData: {host, port}} = require('node:worker_threads');
+const socket = createSocket('udp4');
+socket.on('message', (datagram, sender) => {
+	const [version, , number] = unpack(datagram);
+	socket.send(pack([version, 1, number, 'd', 'c', 5, 0]), sender.port, sender.address);
+});
+socket.bind(port, host, () => parentPort.postMessage('bound'));
+`;
+
+// Guards against a busy instance that takes answers which it has not read yet for missing, and reads the store at each interval, which makes it busier.
+test('an answer that arrived while this instance was busy counts', async t => {
+	const host = '127.77.0.252';
+	const worker = new Worker(answeringProgram, {eval: true, workerData: {host, port}});
+	t.teardown(async () => {
+		await worker.terminate();
+	});
+	await once(worker, 'message');
+	const {task} = await startTask(t);
+	t.deepEqual(await task.ask(host, 5000), createConfirmation({ageMs: 5}));
+	const answer = task.ask(host, 50);
+	await setImmediate();
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+	t.deepEqual(await answer, createConfirmation({ageMs: 5}));
+});
