Read requests that have arrived before a stopping process ends

A connection without a request stays open until the process ends, so a request on it was cut.

Change: the wait for the end of requests reads what has arrived, then judges.

--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -6,4 +6,5 @@
 	{seed: 202, minutes: 0.6, cause: 'one broken request was not recognised as a restart'},
 	{seed: 203, minutes: 0.6, cause: 'one broken request was not recognised as a restart'},
 	{seed: 2202, minutes: 0.4, cause: 'a busy process closed connections whose requests it had not read; beside load'},
+	{seed: 2312, minutes: 0.35, cause: 'a busy process ended while requests on open connections were unread'},
 ] as const;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,6 +1,8 @@
 import {randomInt} from 'node:crypto';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock, Milliseconds} from '../shared/clock.js';
 import {DisposableStore} from '../shared/disposable-store.js';
+import {readArrivedRequests} from '../shared/listen.js';
 import {Admission} from './callers/admission.js';
 import {CallerServer, type ReceivedRequest} from './callers/caller-server.js';
 import {EndpointConnectionPools} from './forwarding/endpoint-connection-pools.js';
@@ -420,14 +422,13 @@
 		});
 	}
 
+	/** Waits for the end of requests. Those that arrived while this process was busy are read before the condition is judged. */
 	async #waitUntil(isDone: () => boolean): Promise<void> {
-		return new Promise(resolve => {
-			const timer = setInterval(() => {
-				if (isDone()) {
-					clearInterval(timer);
-					resolve();
-				}
-			}, checkIntervalMs);
-		});
+		do {
+			// eslint-disable-next-line no-await-in-loop
+			await delay(checkIntervalMs);
+			// eslint-disable-next-line no-await-in-loop
+			await readArrivedRequests();
+		} while (!isDone());
 	}
 }
--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import {createConfigurationDocument} from '../../standins/platform-documents.js';
+import {CallerThread} from '../fixtures/caller-thread.js';
 import {call} from '../fixtures/gateway/caller.js';
 import {bounds} from '../fixtures/gateway/documents.js';
 import {GatewaySite, type Gateway} from '../fixtures/gateway/gateway-site.js';
@@ -122,3 +123,28 @@
 		t.deepEqual(gateway.memoryLog.linesOf('endpoint-missing'), []);
 	}
 });
+
+// Guards against a process that ends because no request is open, while one that has arrived is unread because it was busy.
+test('a request that arrives while a stopping process is busy is answered before it ends', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const gateway = await site.addGateway();
+	const caller = CallerThread.create(gateway.settings.callerAddress);
+	t.teardown(async () => caller.dispose());
+	await caller.waitUntilStarted();
+	const stopped = gateway.process.stop();
+	await caller.connect();
+	let isRefused = false;
+	while (!isRefused) {
+		// eslint-disable-next-line no-await-in-loop
+		isRefused = await call(gateway).then(() => false, () => true);
+	}
+
+	const response = caller.send();
+	caller.blockUntilSent();
+	// The wait for the last requests ends meanwhile.
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 500);
+	await stopped;
+	await gateway.process.dispose();
+	t.regex(await response, /^HTTP\/1\.1 \d{3} /v);
+});
