--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -103,13 +103,13 @@
 		this.#isStopping = true;
 	}
 
-	/** Closes connections without a request, once those that have arrived are read. */
+	/** Closes connections without a request, once the requests that have arrived are read. */
 	async closeIdleConnections(): Promise<void> {
 		await readArrivedRequests();
 		this.#server.closeIdleConnections();
 	}
 
-	/** Stops accepting and closes connections without a request, once those that have arrived are read. */
+	/** Stops accepting and closes connections without a request, once the requests that have arrived are read. */
 	async close(): Promise<void> {
 		await closeAfterReading(this.#server);
 	}
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -13,7 +13,7 @@
 /** Number of requests in flight for each slot of an endpoint above which further requests wait in the queue. */
 const requestsPerSlot = 1;
 
-/** The same while the requests of the peers are known late: an endpoint that is known to be full has completed some since. */
+/** Limit in place of `requestsPerSlot` while the requests of the peers are known late: an endpoint that is known to be full has completed some since. */
 const lateRequestsPerSlot = 2;
 
 /** Maximum fraction of an endpoint's connections that all instances together use; the rest allows for instances whose member lists differ. */
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -46,7 +46,7 @@
 	#missingIds: ReadonlySet<string> = new Set();
 	/** Time until which endpoints without a record are kept. */
 	#graceUntil: Milliseconds = -Infinity;
-	/** Time from which this process has read the store for long enough to know of an outage that ended just before its start. */
+	/** Time before which records may be missing because of an outage that ended just before the start of this process. */
 	#knowsOutagesFrom: Milliseconds = Infinity;
 
 	private constructor() {}
--- a/src/gateway/site/witness-selection.ts
+++ b/src/gateway/site/witness-selection.ts
@@ -1,4 +1,4 @@
-/** Number of instances that are asked: after a cut of a third of the fleet, about one time in thirty all of them were cut off too. */
+/** Number of instances that are asked. Some of them may have been cut off as well. */
 const witnessCount = 3;
 
 /**
