Name the shared parts of prompts in the dispatch line

Change: the ids of the shared parts (all but the last) are decoded, bounded to 32 of them, and the dispatch line names up to eight. Ruled out: the last part, which belongs to the request alone and would only make the lines longer.

--- a/src/gateway/callers/types.ts
+++ b/src/gateway/callers/types.ts
@@ -13,4 +13,6 @@
 	/** The caller's estimate of the output tokens, which is right at the median but often far off. */
 	readonly expectedOutputTokens?: number;
 	readonly lastEventId?: string;
+	/** Ids of the parts of the prompt that other requests may have too, in order. */
+	readonly sharedPromptParts: readonly string[];
 };
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -22,6 +22,9 @@
 /** Time past the deadline of a request after which the gateway ends it; the endpoint knows the same deadline and is given time to respond first. */
 const deadlineMarginMs: Milliseconds = 120;
 
+/** Parts of a prompt that a log line names. */
+const maximumLoggedParts = 8;
+
 /** Forwards one request of a caller: queues it, sends it to an endpoint, retries it at others, and relays the response. */
 export class ForwardTask {
 	static create(request: ForwardRequest, response: CallerResponse, context: ForwardContext): ForwardTask {
@@ -168,6 +171,7 @@
 			waitedMs: Math.round(now - request.arrivedAt),
 			remainingMs: Math.round(this.#deadlineAt - now),
 			version: request.configurationVersion,
+			promptParts: request.metadata.sharedPromptParts.length === 0 ? undefined : request.metadata.sharedPromptParts.slice(0, maximumLoggedParts).join(','),
 			afterEvent: this.#lastEventId,
 		});
 		this.#send(attempt, endpoint);
--- a/test/gateway/callers/admission.test.ts
+++ b/test/gateway/callers/admission.test.ts
@@ -11,6 +11,7 @@
 import {ManualClock} from '../../fixtures/manual-clock.js';
 
 const metadata: CallerRequestMetadata = {
+	sharedPromptParts: [],
 	requestId: 'r', host: 'office.example', remainingMs: 1000, key: 'key-wick',
 };
 
--- a/test/platform/request-headers.test.ts
+++ b/test/platform/request-headers.test.ts
@@ -21,6 +21,7 @@
 		'x-token-count': '1460,80',
 		'x-length-hint': '42',
 		'last-event-id': '12',
+		'x-prompt-prefix': '5C1E07A2:800, 91bd3f06:410,e4402b7d:250',
 	}), {
 		requestId: 'r1',
 		host: 'office.example',
@@ -29,9 +30,21 @@
 		tokens: {prompt: 1460, output: 80},
 		expectedOutputTokens: 42,
 		lastEventId: '12',
+		sharedPromptParts: ['5c1e07a2', '91bd3f06'],
 	});
 });
 
+test('a prompt without parts, or with its own part alone, has no shared parts', t => {
+	for (const value of [undefined, '', ',', 'e4402b7d:250', ':4,:5']) {
+		t.deepEqual(decodeRequestHeaders({host: 'a', 'x-prompt-prefix': value}).sharedPromptParts, [], String(value));
+	}
+});
+
+test('the number of parts that are read from a prompt is bounded', t => {
+	const value = Array.from({length: 2000}, (_, index) => `${index}:1`).join(',');
+	t.is(decodeRequestHeaders({host: 'a', 'x-prompt-prefix': value}).sharedPromptParts.length, 32);
+});
+
 test('values that are not whole numbers count as missing', t => {
 	t.like(decodeRequestHeaders({
 		host: 'a', 'x-deadline-ms': '1e3', 'x-token-count': '-4,x', 'x-length-hint': 'long',
