--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -34,6 +34,9 @@
 
 export type EndpointFault = (typeof endpointFaults)[keyof typeof endpointFaults];
 
+/** Time from the start of a response to the end of the engine that it ends. */
+const endingDelayMs: Milliseconds = 35;
+
 /** A request as the endpoint received it. */
 export type ReceivedRequest = {
 	readonly requestId: string;
@@ -61,6 +64,10 @@
 	readonly port?: number;
 	/** Time that a plain service works on a request. Default: 0. */
 	readonly serviceTimeMs?: Milliseconds;
+	/** Shared parts of prompts that end the process of the engine when it begins a response. Default: none. */
+	readonly endingParts?: ReadonlySet<string>;
+	/** Ends the process: closes the port and all connections. Required with `endingParts`. */
+	readonly onEnding?: () => void;
 	/** Awaited before each normal response. */
 	readonly beforeResponse?: () => Promise<void>;
 };
@@ -188,9 +195,21 @@
 		return handleFault !== undefined;
 	}
 
+	/** Whether one of the parts of a prompt ends this engine. The last part never does. */
+	#isEndedBy(request: IncomingMessage): boolean {
+		const parts = String(request.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':', 1)[0]!);
+		return parts.slice(0, -1).some(part => this.options.endingParts?.has(part));
+	}
+
 	async #stream(request: IncomingMessage, response: ServerResponse, fault: EndpointFault | undefined): Promise<void> {
 		const {id, eventIntervalMs = 1, eventCount = 5} = this.options;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+		if (this.#isEndedBy(request)) {
+			await delay(endingDelayMs);
+			this.options.onEnding!();
+			return;
+		}
+
 		response.writeHead(200, {...sealHeaders(id, String(request.headers['x-request-id'])), 'content-type': 'text/event-stream'});
 		for (let event = first; event <= eventCount && !response.destroyed; event++) {
 			// eslint-disable-next-line no-await-in-loop
