--- a/src/gateway/callers/admission.ts
+++ b/src/gateway/callers/admission.ts
@@ -1,5 +1,6 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {WorkspaceQuotas} from '../limits/workspace-quotas.js';
+import {partKeysOf} from '../quarantine/part-keys.js';
 import type {Freshness} from '../site/freshness.js';
 import {chooseTarget} from '../site/route-table.js';
 import type {SiteState} from '../site/site-state.js';
@@ -41,6 +42,8 @@
 	readonly freshness: Freshness;
 	readonly quotas: WorkspaceQuotas;
 	readonly clock: Clock;
+	/** Returns the time after which the caller may retry a request with these prompt parts, or undefined when it may be dispatched. */
+	readonly withhold: (promptParts: readonly string[]) => Milliseconds | undefined;
 	/** Returns a random number from 0 to below 1. */
 	readonly random: () => number;
 };
@@ -59,7 +62,7 @@
 
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	decide(metadata: CallerRequestMetadata, path: string, arrivedAt: Milliseconds): AdmissionResult {
-		const {site, freshness, random} = this.options;
+		const {site, freshness, random, withhold} = this.options;
 		const {routes} = site;
 		if (metadata.requestId === undefined) {
 			return rejected({type: 'missingRequestId'});
@@ -88,6 +91,11 @@
 			return rejected({type: 'noEndpoint', retryAfterMs: staleRetryAfterMs}, route);
 		}
 
+		const withheldForMs = withhold(partKeysOf(metadata.sharedPromptParts));
+		if (withheldForMs !== undefined) {
+			return rejected({type: 'withheld', retryAfterMs: withheldForMs}, route);
+		}
+
 		return this.#takeQuota(metadata, {
 			kind: 'admitted', route, service, tier: workspace?.tier ?? route.tier, workspace, units: 0, version: routes.version,
 		});
--- a/src/gateway/callers/failures.ts
+++ b/src/gateway/callers/failures.ts
@@ -15,6 +15,7 @@
 	stopping: {status: 503, title: 'This instance is stopping'},
 	noEndpoint: {status: 503, title: 'No endpoint of the service may get requests'},
 	overloaded: {status: 503, title: 'The service is overloaded'},
+	withheld: {status: 503, title: 'The prompt has a part that crashes endpoints'},
 	waitedTooLong: {status: 503, title: 'No place became free in time'},
 	notRun: {status: 503, title: 'The endpoints did not run the request'},
 	internalError: {status: 500, title: 'An unexpected error ended the request'},
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -12,6 +12,9 @@
 /** Largest response body. The body of a plain service is buffered until it is complete; the longest streams have about 200,000 bytes. */
 const maximumBodyBytes = 4_194_304;
 
+/** Time from its first event after which a stream shows that its prompt does not crash the endpoint: an endpoint that crashes does so within 100 ms. */
+const survivalMs: Milliseconds = 500;
+
 /** Classification of an endpoint's response by its head. */
 export const responseKinds = {
 	/** No response head has been received yet. */
@@ -117,6 +120,12 @@
 		return this.options.route.isResumable;
 	}
 
+	/** Whether the endpoint has run the request without crashing: it sent a whole response, or its stream goes on. */
+	hasSurvived(now: Milliseconds, outcome?: AttemptOutcome): boolean {
+		const isWhole = outcome === attemptOutcomes.completed && this.#head !== undefined && this.#head.status < 300;
+		return isWhole || (this.#firstEventAt !== undefined && now - this.#firstEventAt >= survivalMs);
+	}
+
 	/** Average time between the events of the stream, if it had enough of them. */
 	get eventIntervalMs(): Milliseconds | undefined {
 		return this.#eventCount >= minimumEventsForInterval ? (this.#lastProgressAt - this.#firstEventAt!) / (this.#eventCount - 1) : undefined;
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -38,6 +38,8 @@
 	/** Ids of endpoints that may have run the request. */
 	readonly #possiblyRunBy = new Set<string>();
 	#attempt: Attempt | undefined;
+	/** Attempts that the endpoint survived. */
+	readonly #survived = new WeakSet<Attempt>();
 	#sendCount = 0;
 	#isHeadSent = false;
 	#firstResponseMs: Milliseconds | undefined;
@@ -98,6 +100,28 @@
 		}
 	}
 
+	/** Ends the request if its prompt has parts that crash endpoints, unless its response has begun. */
+	withholdIfQuarantined(): void {
+		if (this.#isEnded || this.#isHeadSent) {
+			return;
+		}
+
+		const retryAfterMs = this.context.containment.withholdAdmitted(this.request.promptParts);
+		if (retryAfterMs === undefined) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		this.#attempt = undefined;
+		this.context.scheduler.withdraw(this.#waitingRequest);
+		if (attempt !== undefined) {
+			attempt.exchange?.cancel(new Error('the prompt has a part that crashes endpoints'));
+			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
+		}
+
+		this.#failWithheld(retryAfterMs);
+	}
+
 	/** Cancels the request, so that the endpoint stops working for a caller that has disconnected. */
 	handleCallerDisconnect(): void {
 		if (this.#isEnded) {
@@ -171,7 +195,7 @@
 			waitedMs: Math.round(now - request.arrivedAt),
 			remainingMs: Math.round(this.#deadlineAt - now),
 			version: request.configurationVersion,
-			promptParts: request.metadata.sharedPromptParts.length === 0 ? undefined : request.metadata.sharedPromptParts.slice(0, maximumLoggedParts).join(','),
+			promptParts: request.promptParts.length === 0 ? undefined : request.promptParts.slice(0, maximumLoggedParts).join(','),
 			afterEvent: this.#lastEventId,
 		});
 		this.#send(attempt, endpoint);
@@ -230,6 +254,14 @@
 			this.#firstResponseMs ??= now - this.request.arrivedAt;
 			this.#sendHead(attempt);
 			this.response.write(streamChunk.bytes);
+			this.#recordSurvival(attempt, now);
+		}
+	}
+
+	#recordSurvival(attempt: Attempt, now: Milliseconds, outcome?: AttemptOutcome): void {
+		if (!this.#survived.has(attempt) && attempt.hasSurvived(now, outcome)) {
+			this.#survived.add(attempt);
+			this.context.containment.recordSurvival(this.request.promptParts);
 		}
 	}
 
@@ -272,11 +304,17 @@
 			this.#possiblyRunBy.delete(attempt.endpointId);
 		}
 
+		this.#recordSurvival(attempt, now, outcome);
 		if (outcome === attemptOutcomes.completed) {
 			this.#finish(attempt);
 			return;
 		}
 
+		const endpoint = this.context.findEndpoint(attempt.endpointId);
+		if (outcome === attemptOutcomes.broken && endpoint !== undefined && !this.#survived.has(attempt)) {
+			this.context.containment.recordBroken(endpoint, this.request.promptParts);
+		}
+
 		this.context.log.event('attempt-failed', {
 			requestId: this.requestId,
 			endpoint: attempt.endpointId,
@@ -324,8 +362,19 @@
 		}
 	}
 
+	#failWithheld(retryAfterMs: Milliseconds): void {
+		this.context.log.event('request-withheld', {requestId: this.requestId, mayHaveRun: this.#possiblyRunBy.size > 0, retryAfterMs: Math.round(retryAfterMs)});
+		this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'withheld', retryAfterMs} : {type: 'endpointFailed'});
+	}
+
 	/** Queues the request again. For a started stream, the wait of the caller counts from its last event. */
 	#resubmit(): void {
+		const withheldForMs = this.context.containment.withholdAdmitted(this.request.promptParts);
+		if (withheldForMs !== undefined) {
+			this.#failWithheld(withheldForMs);
+			return;
+		}
+
 		if (this.#isHeadSent) {
 			this.#waitingRequest = this.#createWaitingRequest(this.#lastEventAt, this.request.route.eventGapTargetMs);
 		}
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -4,6 +4,7 @@
 import type {RetryBudgets} from '../limits/retry-budgets.js';
 import type {EventLog} from '../observability/event-log.js';
 import type {Protocol} from '../protocol.js';
+import type {CrashContainment} from '../quarantine/crash-containment.js';
 import type {AttemptOutcome} from '../scheduling/endpoint-load.js';
 import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
 import type {EndpointRecord, Route} from '../site/types.js';
@@ -35,6 +36,8 @@
 	readonly workspace?: string;
 	readonly arrivedAt: Milliseconds;
 	readonly configurationVersion: number;
+	/** Keys of the prompt parts that other requests may have too. */
+	readonly promptParts: readonly string[];
 };
 
 /** How a request ended. */
@@ -62,6 +65,7 @@
 	readonly acquireConnection: (endpoint: EndpointRecord, isRetryable: boolean) => EndpointConnection;
 	/** Whether the request may still be sent to the endpoint. */
 	readonly maySend: (endpoint: EndpointRecord) => boolean;
+	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordSurvival'>;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	readonly onEnd: (result: ForwardResult) => void;
 };
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -17,9 +17,11 @@
 import {PeerAccounting} from './membership/peer-accounting.js';
 import {PeerGroup, type PeerChange} from './membership/peer-group.js';
 import type {Heartbeat} from './membership/types.js';
+import {CrashContainment} from './quarantine/crash-containment.js';
+import {partKeysOf} from './quarantine/part-keys.js';
 import type {EventLog} from './observability/event-log.js';
 import {GatewayMetrics} from './observability/gateway-metrics.js';
-import {MonitoringServer} from './observability/monitoring-server.js';
+import {MonitoringServer, type MonitoringHandler} from './observability/monitoring-server.js';
 import {siteChangeFields} from './observability/site-change-fields.js';
 import type {Protocol} from './protocol.js';
 import {ServiceScheduler} from './scheduling/service-scheduler.js';
@@ -36,6 +38,9 @@
 /** Interval of the checks for requests whose deadline may have passed. */
 const checkIntervalMs: Milliseconds = 50;
 
+/** Interval at which evidence of crashes that is too old is forgotten. */
+const expiryIntervalMs: Milliseconds = 5000;
+
 /** Time after the request to stop during which new requests are accepted: the load balancer sends callers here until two of its health checks, one second apart, have failed. */
 const acceptAfterStopMs: Milliseconds = 3000;
 
@@ -86,6 +91,7 @@
 	readonly #heartbeats: HeartbeatTask;
 	readonly #schedulers: ServiceSchedulers;
 	readonly #connectionPools: EndpointConnectionPools;
+	readonly #containment: CrashContainment;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
 	readonly #startedAt: Milliseconds;
@@ -107,8 +113,32 @@
 			this.#metrics.recordConnect();
 		});
 		this.#schedulers = ServiceSchedulers.create({site: this.#site, createScheduler: service => this.#createScheduler(service)});
+		this.#containment = CrashContainment.create({
+			ownHost: settings.host,
+			clock,
+			log,
+			peers: this.#peers,
+			isServing: endpoint => this.#isServing(endpoint),
+			send: outgoing => {
+				this.#heartbeats.send(outgoing);
+			},
+			onQuarantined: () => {
+				for (const task of this.#tasks) {
+					task.withholdIfQuarantined();
+				}
+			},
+			onCrash: () => {
+				this.#metrics.recordCrash();
+			},
+			random: Math.random,
+		});
 		this.#admission = Admission.create({
-			site: this.#site, freshness: this.#freshness, quotas: this.#quotas, clock, random: Math.random,
+			site: this.#site,
+			freshness: this.#freshness,
+			quotas: this.#quotas,
+			clock,
+			withhold: parts => this.#containment.withhold(parts),
+			random: Math.random,
 		});
 		this.#callerServer = CallerServer.create({
 			address: settings.callerAddress,
@@ -150,6 +180,7 @@
 			onHeartbeat: heartbeat => {
 				this.#onHeartbeat(heartbeat);
 			},
+			crashReports: this.#containment.exchange,
 			onSummary: summary => this.#peerAccounting.receiveSummary(summary, clock.now()),
 		});
 		this.#heartbeats = HeartbeatTask.create({
@@ -185,6 +216,9 @@
 		this.#disposables.addInterval(() => {
 			this.#runPeriodicChecks();
 		}, checkIntervalMs);
+		this.#disposables.addInterval(() => {
+			this.#containment.expire();
+		}, expiryIntervalMs);
 	}
 
 	/** Applies the settings that can change at run time. */
@@ -236,8 +270,9 @@
 	async #startMonitoringServers(settings: InstanceSettings, protocol: Protocol): Promise<void> {
 		const {log} = this.options;
 		const ready = MonitoringServer.create(settings.readinessAddress, log, new Map([[protocol.readinessPath, () => ({status: this.isReady ? 200 : 503})]]));
-		const metrics = MonitoringServer.create({host: settings.host, port: settings.internalPorts.first + metricsPortOffset}, log, new Map([
+		const metrics = MonitoringServer.create({host: settings.host, port: settings.internalPorts.first + metricsPortOffset}, log, new Map<string, MonitoringHandler>([
 			['/metrics', async () => ({status: 200, body: await this.#renderMetrics()})],
+			['/quarantine', () => ({status: 200, contentType: 'application/json', body: JSON.stringify(this.#containment.status())})],
 		]));
 		for (const server of [ready, metrics]) {
 			// eslint-disable-next-line no-await-in-loop -- the second is not needed when the first can't start
@@ -289,6 +324,7 @@
 			workspace: workspace?.name,
 			arrivedAt,
 			configurationVersion: version,
+			promptParts: partKeysOf(metadata.sharedPromptParts),
 		}, response, {
 			clock,
 			log,
@@ -300,6 +336,7 @@
 			findEndpoint: id => this.#site.endpoints.get(id),
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
 			maySend: endpoint => this.#maySend(freshnessArrivedAt, endpoint),
+			containment: this.#containment,
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
 			},
@@ -319,11 +356,16 @@
 		task.start();
 	}
 
+	/** Whether the process that wrote an endpoint's record is registered and does not leave. */
+	#isServing(endpoint: EndpointRecord): boolean {
+		const current = this.#site.endpoints.get(endpoint.id);
+		return current !== undefined && !current.isLeaving && current.startedAt === endpoint.startedAt;
+	}
+
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
-		const current = this.#site.endpoints.get(endpoint.id);
-		return current !== undefined && !current.isLeaving && current.startedAt === endpoint.startedAt
-			&& !this.#site.evacuatedZones.has(current.availabilityZone)
+		const availabilityZone = this.#site.endpoints.get(endpoint.id)?.availabilityZone;
+		return this.#isServing(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
 
@@ -346,6 +388,8 @@
 		for (const {kind, ...fields} of changes) {
 			this.options.log.event(kind, fields);
 		}
+
+		this.#containment.handlePeerChanges(changes);
 	}
 
 	#onSiteChanges(changes: readonly SiteChange[]): void {
@@ -419,6 +463,7 @@
 			presentPeers: this.#peers.presentHosts().length,
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
+			quarantineEntries: this.#containment.status().length,
 		});
 	}
 
--- a/src/gateway/membership/heartbeat-codec.ts
+++ b/src/gateway/membership/heartbeat-codec.ts
@@ -1,5 +1,7 @@
 import {pack, unpack} from 'msgpackr';
 import * as z from 'zod';
+import {crashReportFormatVersion, crashReportFrom} from '../quarantine/crash-report-codec.js';
+import type {CrashReport} from '../quarantine/types.js';
 import type {Heartbeat, ZoneSummary} from './types.js';
 
 /** Versions of the format of heartbeats, without and with the size of the fleet. Instances ignore datagrams of any other version. */
@@ -64,15 +66,20 @@
 /** A decoded datagram of another instance. */
 export type MembershipMessage
 	= | {readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat}
-		| {readonly kind: 'summary'; readonly summary: ZoneSummary};
+		| {readonly kind: 'summary'; readonly summary: ZoneSummary}
+		| {readonly kind: 'crash-report'; readonly report: CrashReport};
 
 /**
 Decodes a datagram.
 
-@throws {Error} when it is neither a heartbeat nor a zone summary of these format versions
+@throws {Error} when it is no heartbeat, zone summary or crash report of these format versions
 */
 export function decodeMessage(datagram: Uint8Array): MembershipMessage {
 	const content: unknown = unpack(datagram);
+	if (isOfVersion(content, crashReportFormatVersion)) {
+		return {kind: 'crash-report', report: crashReportFrom(content)};
+	}
+
 	if (!isOfVersion(content, summaryFormatVersion)) {
 		return {kind: 'heartbeat', heartbeat: heartbeatFrom(content)};
 	}
--- a/src/gateway/membership/heartbeat-exchange.ts
+++ b/src/gateway/membership/heartbeat-exchange.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
+import type {CrashReportExchange} from '../quarantine/crash-report-exchange.js';
 import {decodeMessage, encodeHeartbeat, encodeSummary} from './heartbeat-codec.js';
 import type {PeerGroup} from './peer-group.js';
 import type {Heartbeat, WorkspaceUsage, ZoneSummary} from './types.js';
@@ -28,6 +29,7 @@
 	/** Units that the instances of this zone have used. */
 	readonly zoneUsage: () => readonly WorkspaceUsage[];
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
+	readonly crashReports: CrashReportExchange;
 	/** Returns whether the summary is new. */
 	readonly onSummary: (summary: ZoneSummary) => boolean;
 };
@@ -62,15 +64,15 @@
 
 	/** Returns what is to be sent now. */
 	tick(now: Milliseconds): OutgoingDatagram[] {
-		const {peers} = this.options;
-		const outgoing = [{datagram: this.#encode(false, peers.presentHosts()), targets: peers.heartbeatTargets(now)}];
+		const {peers, crashReports} = this.options;
+		const outgoing: OutgoingDatagram[] = [{datagram: this.#encode(false, peers.presentHosts()), targets: peers.heartbeatTargets(now)}];
 		const summaryIntervalMs = Math.max(minimumSummaryIntervalMs, peers.memberCount * summaryIntervalPerInstanceMs);
 		if (now - this.#lastSummaryAt >= summaryIntervalMs && peers.isRelay) {
 			this.#lastSummaryAt = now;
 			outgoing.push({datagram: this.#encodeSummary(), targets: new Set(peers.summaryTargets())});
 		}
 
-		return outgoing;
+		return [...outgoing, ...crashReports.tick(now)];
 	}
 
 	/**
@@ -80,12 +82,16 @@
 	@throws {Error} when it is of another format
 	*/
 	receive(datagram: Uint8Array, sender: string, now: Milliseconds): OutgoingDatagram[] {
-		const {peers, onHeartbeat, onSummary} = this.options;
+		const {peers, crashReports, onHeartbeat, onSummary} = this.options;
 		const message = decodeMessage(datagram);
 		if (message.kind === 'summary') {
 			return onSummary(message.summary) ? this.#passOn(datagram, sender) : [];
 		}
 
+		if (message.kind === 'crash-report') {
+			return crashReports.receive(message.report, sender, now);
+		}
+
 		const {heartbeat} = message;
 		onHeartbeat(heartbeat);
 		if (!peers.takeAnswer(heartbeat, now)) {
--- a/src/gateway/membership/heartbeat-task.ts
+++ b/src/gateway/membership/heartbeat-task.ts
@@ -33,7 +33,7 @@
 		const {host, port, clock, log, exchange} = this.options;
 		this.#socket.on('message', (datagram, {address}) => {
 			try {
-				this.#send(exchange.receive(datagram, address, clock.now()));
+				this.send(exchange.receive(datagram, address, clock.now()));
 			} catch (error) {
 				log.event('beat-rejected', {host: address, reason: describeError(error)});
 			}
@@ -52,23 +52,11 @@
 
 	/** Sends a last heartbeat, which says that this process is about to end. */
 	sendLeaving(): void {
-		this.#send([this.options.exchange.leave()]);
+		this.send([this.options.exchange.leave()]);
 	}
 
-	async dispose(): Promise<void> {
-		await this.#disposables.dispose();
-	}
-
-	#tick(): void {
-		const {clock, exchange, onTick} = this.options;
-		onTick();
-		this.#send(exchange.tick(clock.now()));
-		this.#timer = setTimeout(() => {
-			this.#tick();
-		}, exchange.intervalMs);
-	}
-
-	#send(outgoing: readonly OutgoingDatagram[]): void {
+	/** Sends datagrams now. */
+	send(outgoing: readonly OutgoingDatagram[]): void {
 		const {port, log} = this.options;
 		for (const {datagram, targets} of outgoing) {
 			for (const target of targets) {
@@ -80,4 +68,17 @@
 			}
 		}
 	}
+
+	async dispose(): Promise<void> {
+		await this.#disposables.dispose();
+	}
+
+	#tick(): void {
+		const {clock, exchange, onTick} = this.options;
+		onTick();
+		this.send(exchange.tick(clock.now()));
+		this.#timer = setTimeout(() => {
+			this.#tick();
+		}, exchange.intervalMs);
+	}
 }
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -16,6 +16,7 @@
 	readonly presentPeers: number;
 	readonly confirmedAgeMs: Milliseconds;
 	readonly endpointConnections: number;
+	readonly quarantineEntries: number;
 };
 
 /** Counters, gauges and histograms of one gateway process. */
@@ -49,6 +50,10 @@
 		name: 'jackdawfork_endpoint_connects_total', help: 'Connections opened to endpoints', registers: [this.#registry],
 	});
 
+	readonly #crashes = new Counter({
+		name: 'jackdawfork_endpoint_crashes_total', help: 'Crashes of endpoints while requests of this instance with prompt parts ran there', registers: [this.#registry],
+	});
+
 	readonly #waiting = new Gauge({
 		name: 'jackdawfork_waiting_requests', help: 'Requests that wait for an endpoint', labelNames: ['service'], registers: [this.#registry],
 	});
@@ -59,6 +64,7 @@
 		presentPeers: new Gauge({name: 'jackdawfork_present_peers', help: 'Other instances that are heard', registers: [this.#registry]}),
 		confirmedAgeMs: new Gauge({name: 'jackdawfork_configuration_confirmed_age_milliseconds', help: 'Age of the reading that confirmed the configuration', registers: [this.#registry]}),
 		endpointConnections: new Gauge({name: 'jackdawfork_endpoint_connections', help: 'Open connections to endpoints', registers: [this.#registry]}),
+		quarantineEntries: new Gauge({name: 'jackdawfork_quarantine_entries', help: 'Prompt parts, or sets of them, whose requests are withheld because they crash endpoints', registers: [this.#registry]}),
 	} as const;
 
 	private constructor() {}
@@ -83,6 +89,10 @@
 		this.#connects.inc();
 	}
 
+	recordCrash(): void {
+		this.#crashes.inc();
+	}
+
 	async render(values: GaugeValues): Promise<string> {
 		for (const [service, waiting] of Object.entries(values.waiting)) {
 			this.#waiting.set({service}, waiting);
--- a/src/gateway/observability/monitoring-server.ts
+++ b/src/gateway/observability/monitoring-server.ts
@@ -12,7 +12,9 @@
 	readonly body?: string;
 };
 
-type MonitoringHandlers = ReadonlyMap<string, () => MonitoringResponse | Promise<MonitoringResponse>>;
+export type MonitoringHandler = () => MonitoringResponse | Promise<MonitoringResponse>;
+
+type MonitoringHandlers = ReadonlyMap<string, MonitoringHandler>;
 
 /** Serves GET requests for a fixed set of paths: readiness for the load balancer and metrics for operators. */
 export class MonitoringServer {
@@ -50,7 +52,7 @@
 		response.end(body);
 	}
 
-	async #call(handler: (() => MonitoringResponse | Promise<MonitoringResponse>) | undefined): Promise<MonitoringResponse> {
+	async #call(handler: MonitoringHandler | undefined): Promise<MonitoringResponse> {
 		if (handler === undefined) {
 			return {status: 404};
 		}
--- /dev/null
+++ b/src/gateway/quarantine/crash-evidence.ts
@@ -0,0 +1,193 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import {
+	crashKey, type EndpointCrash, type Evidence, type PartSurvival, type Suspect,
+} from './types.js';
+
+/** Time for which a crash is remembered that no culprit explains. */
+const rememberedMs: Milliseconds = 300_000;
+
+const maximumCrashes = 64;
+const maximumSuspectsPerCrash = 32;
+
+/** Parts whose last survival is remembered. */
+const maximumSurvivals = 4096;
+
+/** Survivals of suspected parts that are passed over in the search for one to drop. */
+const maximumKeptPerDrop = 16;
+
+/** Crashes with a part from which on a survival is worth telling. Common parts survive at every instance. */
+const reportedFromCrashes = 2;
+
+function mergeSuspects(first: readonly Suspect[], second: readonly Suspect[]): readonly Suspect[] {
+	const byParts = new Map([...first, ...second].map(suspect => [suspect.join(','), suspect]));
+	return byParts.size === first.length ? first : [...byParts.values()].slice(0, maximumSuspectsPerCrash);
+}
+
+/** What is known of crashed endpoints and of parts that survived, from this instance and from others. Its size is bounded. */
+export class CrashEvidence {
+	static create(): CrashEvidence {
+		return new CrashEvidence();
+	}
+
+	readonly #crashes = new Map<string, EndpointCrash>();
+	/** Least recently survived first. */
+	readonly #survivedAt = new Map<string, Milliseconds>();
+	/** The survivals that the other instances know. */
+	readonly #reportedSurvivedAt = new Map<string, Milliseconds>();
+	#sortedCrashes: readonly EndpointCrash[] | undefined;
+	/** Parts of all suspects, with the times of their crashes. */
+	#suspectParts = new Map<string, Milliseconds[]>();
+
+	private constructor() {}
+
+	/** In order of time. */
+	crashes(): readonly EndpointCrash[] {
+		this.#sortedCrashes ??= [...this.#crashes.values()].toSorted((a, b) => a.at - b.at);
+		return this.#sortedCrashes;
+	}
+
+	survivedAt(part: string): Milliseconds {
+		return this.#survivedAt.get(part) ?? -Infinity;
+	}
+
+	/** All that another instance needs to come to the same conclusions. */
+	all(): Evidence {
+		const survivals = [...this.#suspectParts.keys()]
+			.filter(part => this.#survivedAt.has(part))
+			.map(part => ({part, at: this.survivedAt(part)}));
+		return {crashes: this.crashes(), survivals};
+	}
+
+	/** Adds evidence of this instance or of others. Returns what was not known before. */
+	add({crashes, survivals}: Evidence): Evidence {
+		const newCrashes = crashes.filter(crash => this.#addCrash(crash));
+		if (newCrashes.length > 0) {
+			this.#index();
+		}
+
+		const newSurvivals = survivals.filter(({part, at}) => this.#addSurvival(part, at));
+		return {crashes: newCrashes.map(crash => this.#crashes.get(crashKey(crash))!), survivals: newSurvivals};
+	}
+
+	/** Records that requests with these parts survived at this instance. Returns whether a suspected part is among them. */
+	recordSurvival(parts: readonly string[], now: Milliseconds): boolean {
+		let isNews = false;
+		for (const part of parts) {
+			isNews = this.#addSurvival(part, now) || isNews;
+		}
+
+		return isNews;
+	}
+
+	/** Takes the survivals that the others have not been told of and that speak against several crashes. */
+	takeUnreportedSurvivals(): PartSurvival[] {
+		const unreported: PartSurvival[] = [];
+		for (const [part, times] of this.#suspectParts) {
+			const at = this.survivedAt(part);
+			const counted = times.filter(time => time > (this.#reportedSurvivedAt.get(part) ?? -Infinity));
+			if (counted.length >= reportedFromCrashes && at > counted[0]!) {
+				this.#reportedSurvivedAt.set(part, at);
+				unreported.push({part, at});
+			}
+		}
+
+		return unreported;
+	}
+
+	/** Records that the other instances were told of survivals. */
+	markReported(survivals: readonly PartSurvival[]): void {
+		for (const {part, at} of survivals) {
+			if (this.#suspectParts.has(part)) {
+				this.#reportedSurvivedAt.set(part, Math.max(at, this.#reportedSurvivedAt.get(part) ?? -Infinity));
+			}
+		}
+	}
+
+	/**
+	Drops what is too old or too much.
+
+	@param kept crashes that show a culprit
+	*/
+	prune(now: Milliseconds, kept: ReadonlySet<EndpointCrash>, dropped: ReadonlySet<EndpointCrash>): void {
+		const sizeBefore = this.#crashes.size;
+		const unexplained = this.crashes().filter(crash => !kept.has(crash));
+		const excess = this.#crashes.size - maximumCrashes;
+		for (const [index, crash] of unexplained.entries()) {
+			if (dropped.has(crash) || index < excess || now - crash.at > rememberedMs) {
+				this.#crashes.delete(crashKey(crash));
+			}
+		}
+
+		if (this.#crashes.size !== sizeBefore) {
+			this.#sortedCrashes = undefined;
+			this.#index();
+		}
+	}
+
+	#addCrash(crash: EndpointCrash): boolean {
+		const key = crashKey(crash);
+		const known = this.#crashes.get(key);
+		if (known === undefined) {
+			this.#crashes.set(key, {...crash, suspects: mergeSuspects([], crash.suspects)});
+		} else {
+			const suspects = mergeSuspects(known.suspects, crash.suspects);
+			if (suspects === known.suspects) {
+				return false;
+			}
+
+			this.#crashes.set(key, {...known, at: Math.min(known.at, crash.at), suspects});
+		}
+
+		this.#sortedCrashes = undefined;
+		return true;
+	}
+
+	#addSurvival(part: string, at: Milliseconds): boolean {
+		const before = this.survivedAt(part);
+		if (at <= before) {
+			return false;
+		}
+
+		this.#survivedAt.delete(part);
+		this.#survivedAt.set(part, at);
+		if (this.#survivedAt.size > maximumSurvivals) {
+			this.#dropOldestSurvival();
+		}
+
+		return this.#suspectParts.get(part)?.some(time => time > before && time < at) === true;
+	}
+
+	/** Survivals of suspected parts are kept: without them, a sound part could be convicted. */
+	#dropOldestSurvival(): void {
+		let keptCount = 0;
+		for (const [part, at] of this.#survivedAt) {
+			this.#survivedAt.delete(part);
+			if (!this.#suspectParts.has(part)) {
+				return;
+			}
+
+			this.#survivedAt.set(part, at);
+			keptCount++;
+			if (keptCount >= maximumKeptPerDrop) {
+				return;
+			}
+		}
+	}
+
+	#index(): void {
+		this.#suspectParts = new Map();
+		for (const {suspects, at} of this.crashes()) {
+			for (const part of new Set(suspects.flat())) {
+				const times = this.#suspectParts.get(part) ?? [];
+				times.push(at);
+				this.#suspectParts.set(part, times);
+			}
+		}
+
+		for (const part of this.#reportedSurvivedAt.keys()) {
+			if (!this.#suspectParts.has(part)) {
+				this.#reportedSurvivedAt.delete(part);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -0,0 +1,66 @@
+import test from 'ava';
+import {findCulprits} from '../../../src/gateway/quarantine/culprits.js';
+import type {EndpointCrash, Suspect} from '../../../src/gateway/quarantine/types.js';
+
+let nextNumber = 0;
+
+function createCrash(at: number, ...suspects: readonly Suspect[]): EndpointCrash {
+	nextNumber++;
+	return {
+		endpointId: `engine-${nextNumber}`, startedAt: 1, at, suspects,
+	};
+}
+
+function findParts(crashes: readonly EndpointCrash[], survivals: Readonly<Record<string, number>> = {}): string[] {
+	return findCulprits(crashes, part => survivals[part] ?? -Infinity).map(({parts}) => parts.join('+'));
+}
+
+/** Crashes under requests that all have the part `bad` and whose other parts differ. */
+function createBadCrashes(count: number): EndpointCrash[] {
+	return Array.from({length: count}, (_, index) => createCrash(index * 1000, [`first-${index}`, 'bad'], ['first-9', `rare-${index}`]));
+}
+
+test('a part is convicted after four crashes, not after the two or three that happen by chance', t => {
+	t.deepEqual(findParts(createBadCrashes(3)), []);
+	t.deepEqual(findParts(createBadCrashes(4), {'first-9': 5000}), ['bad']);
+});
+
+test('a first part that is in all crashes, but of which other requests survive, is not convicted', t => {
+	const crashes = [0, 1000, 2000, 3000, 4000, 5000].map(at => createCrash(at, ['first', 'bad'], ['first', `rare-${at}`]));
+	t.deepEqual(findParts(crashes, {first: 2500}), ['bad']);
+});
+
+test('a part is convicted only by crashes after its last survival', t => {
+	t.deepEqual(findParts(createBadCrashes(5), {bad: 1500, 'first-9': 5000}), []);
+	t.deepEqual(findParts(createBadCrashes(6), {bad: 1500, 'first-9': 5000}), ['bad']);
+});
+
+test('a rare sound part is not convicted of crashes that a part with more crashes explains', t => {
+	const crashes = [0, 1000, 2000, 3000, 4000].map(at => createCrash(at, [`first-${at}`, 'bad'], ...(at > 0 ? [['first', 'rare']] : [])));
+	t.deepEqual(findParts(crashes, {first: 9000}), ['bad']);
+});
+
+test('endpoints that crash at the same time count once, because they convict every part that is in use', t => {
+	const crashes = Array.from({length: 8}, (_, index) => createCrash(index * 5, ['first', 'middle']));
+	t.deepEqual(findParts(crashes), []);
+	t.deepEqual(findParts([...crashes, createCrash(3000, ['first', 'middle']), createCrash(6000, ['first', 'middle'])]), []);
+});
+
+test('parts that only occurred together are convicted together, so that requests with one of them go on', t => {
+	const crashes = [0, 1000, 2000, 3000].map(at => createCrash(at, ['first', 'bad', 'rare']));
+	t.deepEqual(findParts(crashes, {first: 4000}), ['bad+rare']);
+	t.deepEqual(findParts([...crashes, createCrash(4000, ['other', 'bad'])], {first: 4000, other: 5000}), ['bad']);
+	t.deepEqual(findParts(crashes, {first: 4000, rare: 4000}), ['bad']);
+});
+
+test('parts of different requests that were in the same crashes wait for a crash that distinguishes them', t => {
+	const crashes = [0, 1000, 2000, 3000].map(at => createCrash(at, ['bad'], ['chance']));
+	t.deepEqual(findParts(crashes), []);
+	t.deepEqual(findParts([...crashes, createCrash(4000, ['bad'])]), ['bad']);
+	t.deepEqual(findParts([4, 5, 6, 7, 8, 9, 10].map(at => createCrash(at * 1000, ['bad'], ['worse']))), ['bad', 'worse']);
+});
+
+test('several parts that crash endpoints at the same time are all convicted, a first part too', t => {
+	const crashes = Array.from({length: 10}, (_, index) => createCrash(index * 300, index % 2 === 0 ? ['first', 'bad'] : ['bad-first', `middle-${index}`], ['first', `rare-${index}`]));
+	t.deepEqual(findParts(crashes, {first: 4000}).toSorted(), ['bad', 'bad-first']);
+});
