Convict parts by comparison with what other requests suffer, and keep convictions

What callers saw (test, not yet any user): when all engines crashed again and again, with lost responses beside, a rare sound part (one of 40 middle parts) had been in four crashes without a survival, and its requests were withheld for five minutes. Cause: four crashes are no chance while few requests crash, but they are when most do. The count said nothing about the other requests. Change: each report of a crash says how many requests with proven parts survived at the instance since its report before, and how many crashed. A part is convicted when the probability that all its crashes are chance is below 1 in 2000, or below 1 in 20 when it was in 40 % of all crashes that nothing else explains. Convictions stay until a survival or their end, and are told to the others, because the crashes that are kept would no longer suffice for a new one.

--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -7,7 +7,8 @@
 import {CrashDetector} from './crash-detector.js';
 import {CrashReportExchange} from './crash-report-exchange.js';
 import {PromptQuarantine, type QuarantineChange} from './prompt-quarantine.js';
-import type {EndpointCrash, Evidence} from './types.js';
+import {SurvivorCount} from './survivor-count.js';
+import type {DetectedCrash, Evidence} from './types.js';
 
 /** Time limit for a connection that shows whether an endpoint has crashed. */
 const probeTimeoutMs: Milliseconds = 300;
@@ -51,6 +52,7 @@
 	readonly exchange: CrashReportExchange;
 	readonly #quarantine: PromptQuarantine;
 	readonly #detector: CrashDetector;
+	readonly #survivors = SurvivorCount.create();
 
 	private constructor(private readonly options: CrashContainmentOptions) {
 		const {ownHost, clock, peers, isServing, send, random} = options;
@@ -101,7 +103,16 @@
 	}
 
 	recordSurvival(parts: readonly string[]): void {
-		this.#quarantine.recordSurvival(parts, this.options.clock.now());
+		if (parts.length === 0) {
+			return;
+		}
+
+		const now = this.options.clock.now();
+		if (this.#quarantine.haveSurvived(parts)) {
+			this.#survivors.record(now);
+		}
+
+		this.#quarantine.recordSurvival(parts, now);
 	}
 
 	handlePeerChanges(changes: readonly PeerChange[]): void {
@@ -130,10 +141,15 @@
 		}));
 	}
 
-	#onCrash(crash: EndpointCrash): void {
-		this.options.log.event('endpoint-crashed', {endpoint: crash.endpointId, suspects: crash.suspects.length, ageMs: Math.round(this.options.clock.now() - crash.at)});
-		this.options.onCrash();
-		this.#quarantine.recordCrash(crash);
+	#onCrash(crash: DetectedCrash): void {
+		const {ownHost, clock, log, onCrash} = this.options;
+		const now = clock.now();
+		const comparison = {survived: this.#survivors.take(now), crashed: crash.suspects.filter(parts => this.#quarantine.haveSurvived(parts)).length};
+		log.event('endpoint-crashed', {
+			endpoint: crash.endpointId, suspects: crash.suspects.length, comparableCrashed: comparison.crashed, comparableSurvived: comparison.survived, ageMs: Math.round(now - crash.at),
+		});
+		onCrash();
+		this.#quarantine.recordCrash({...crash, comparisons: {[ownHost]: comparison}});
 	}
 
 	#onChanges(changes: readonly QuarantineChange[]): void {
--- a/src/gateway/quarantine/crash-detector.ts
+++ b/src/gateway/quarantine/crash-detector.ts
@@ -2,7 +2,7 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {connectResults, type ConnectResult} from '../../shared/probe-connection.js';
 import type {EndpointRecord} from '../site/types.js';
-import {crashKey, type EndpointCrash, type Suspect} from './types.js';
+import {crashKey, type DetectedCrash, type Suspect} from './types.js';
 
 /** Time from the first broken connection to the check, in which the other connections of a crashed process break too. */
 const checkDelayMs: Milliseconds = 20;
@@ -21,7 +21,7 @@
 	/** Whether the process of the record is still meant to serve. One that leaves may close its connections. */
 	readonly isServing: (endpoint: EndpointRecord) => boolean;
 	readonly probe: (address: string) => Promise<ConnectResult>;
-	readonly onCrash: (crash: EndpointCrash) => void;
+	readonly onCrash: (crash: DetectedCrash) => void;
 };
 
 /** Tells endpoints that crashed from lost responses: both break a connection, but only a crashed endpoint refuses new ones. */
--- a/src/gateway/quarantine/crash-evidence.ts
+++ b/src/gateway/quarantine/crash-evidence.ts
@@ -6,6 +6,7 @@
 /** Time for which a crash is remembered that no culprit explains. */
 const rememberedMs: Milliseconds = 300_000;
 
+/** Crashes that no culprit explains; the oldest are dropped. */
 const maximumCrashes = 64;
 const maximumSuspectsPerCrash = 32;
 
@@ -23,6 +24,21 @@
 	return byParts.size === first.length ? first : [...byParts.values()].slice(0, maximumSuspectsPerCrash);
 }
 
+/** Merges the comparisons of several reports; a report that is repeated changes nothing. */
+function mergeComparisons(first: EndpointCrash['comparisons'], second: EndpointCrash['comparisons']): EndpointCrash['comparisons'] {
+	const merged = {...first};
+	let isChanged = false;
+	for (const [host, {survived, crashed}] of Object.entries(second)) {
+		const known = merged[host];
+		if (known === undefined || survived > known.survived || crashed > known.crashed) {
+			merged[host] = {survived: Math.max(survived, known?.survived ?? 0), crashed: Math.max(crashed, known?.crashed ?? 0)};
+			isChanged = true;
+		}
+	}
+
+	return isChanged ? merged : first;
+}
+
 /** What is known of crashed endpoints and of parts that survived, from this instance and from others. Its size is bounded. */
 export class CrashEvidence {
 	static create(): CrashEvidence {
@@ -50,8 +66,13 @@
 		return this.#survivedAt.get(part) ?? -Infinity;
 	}
 
+	/** Whether requests with each of the parts have survived, as far as this instance knows. */
+	haveSurvived(parts: readonly string[]): boolean {
+		return parts.every(part => this.#survivedAt.has(part));
+	}
+
 	/** All that another instance needs to come to the same conclusions. */
-	all(): Evidence {
+	all(): Pick<Evidence, 'crashes' | 'survivals'> {
 		const survivals = [...this.#suspectParts.keys()]
 			.filter(part => this.#survivedAt.has(part))
 			.map(part => ({part, at: this.survivedAt(part)}));
@@ -59,7 +80,7 @@
 	}
 
 	/** Adds evidence of this instance or of others. Returns what was not known before. */
-	add({crashes, survivals}: Evidence): Evidence {
+	add({crashes, survivals}: Pick<Evidence, 'crashes' | 'survivals'>): Pick<Evidence, 'crashes' | 'survivals'> {
 		const newCrashes = crashes.filter(crash => this.#addCrash(crash));
 		if (newCrashes.length > 0) {
 			this.#index();
@@ -111,7 +132,7 @@
 	prune(now: Milliseconds, kept: ReadonlySet<EndpointCrash>, dropped: ReadonlySet<EndpointCrash>): void {
 		const sizeBefore = this.#crashes.size;
 		const unexplained = this.crashes().filter(crash => !kept.has(crash));
-		const excess = this.#crashes.size - maximumCrashes;
+		const excess = unexplained.length - maximumCrashes;
 		for (const [index, crash] of unexplained.entries()) {
 			if (dropped.has(crash) || index < excess || now - crash.at > rememberedMs) {
 				this.#crashes.delete(crashKey(crash));
@@ -131,11 +152,14 @@
 			this.#crashes.set(key, {...crash, suspects: mergeSuspects([], crash.suspects)});
 		} else {
 			const suspects = mergeSuspects(known.suspects, crash.suspects);
-			if (suspects === known.suspects) {
+			const comparisons = mergeComparisons(known.comparisons, crash.comparisons);
+			if (suspects === known.suspects && comparisons === known.comparisons) {
 				return false;
 			}
 
-			this.#crashes.set(key, {...known, at: Math.min(known.at, crash.at), suspects});
+			this.#crashes.set(key, {
+				...known, at: Math.min(known.at, crash.at), suspects, comparisons,
+			});
 		}
 
 		this.#sortedCrashes = undefined;
--- a/src/gateway/quarantine/crash-report-exchange.ts
+++ b/src/gateway/quarantine/crash-report-exchange.ts
@@ -29,7 +29,10 @@
 /** Items that wait to be sent; the oldest are dropped. All are repaired later. */
 const maximumPending = 256;
 
-type Item = {readonly kind: 'crash'; readonly crash: EndpointCrash} | {readonly kind: 'survival'; readonly survival: PartSurvival};
+type Item
+	= | {readonly kind: 'crash'; readonly crash: EndpointCrash}
+		| {readonly kind: 'survival'; readonly survival: PartSurvival}
+		| {readonly kind: 'conviction'; readonly parts: readonly string[]};
 
 type PendingItem = {
 	readonly item: Item;
@@ -68,14 +71,19 @@
 	return groups.map(suspects => ({...crash, suspects}));
 }
 
-function toItems({crashes, survivals}: Evidence): Item[] {
-	return [...crashes.flatMap(crash => splitCrash(crash)).map(crash => ({kind: 'crash' as const, crash})), ...survivals.map(survival => ({kind: 'survival' as const, survival}))];
+function toItems({crashes, survivals, convictions}: Evidence): Item[] {
+	return [
+		...crashes.flatMap(crash => splitCrash(crash)).map(crash => ({kind: 'crash' as const, crash})),
+		...survivals.map(survival => ({kind: 'survival' as const, survival})),
+		...convictions.map(parts => ({kind: 'conviction' as const, parts})),
+	];
 }
 
 function toReport(items: readonly Item[], now: Milliseconds): CrashReport {
 	return {
 		crashes: items.flatMap(item => item.kind === 'crash' ? [{...item.crash, ageMs: now - item.crash.at}] : []),
 		survivals: items.flatMap(item => item.kind === 'survival' ? [{part: item.survival.part, ageMs: now - item.survival.at}] : []),
+		convictions: items.flatMap(item => item.kind === 'conviction' ? [item.parts] : []),
 	};
 }
 
@@ -131,10 +139,11 @@
 
 	@param sender host that sent it
 	*/
-	receive({crashes, survivals}: CrashReport, sender: string, now: Milliseconds): OutgoingDatagram[] {
+	receive({crashes, survivals, convictions}: CrashReport, sender: string, now: Milliseconds): OutgoingDatagram[] {
 		const news = this.options.receive({
 			crashes: crashes.map(({ageMs, ...crash}) => ({...crash, at: now - ageMs})),
 			survivals: survivals.map(({ageMs, part}) => ({part, at: now - ageMs})),
+			convictions,
 		});
 		const {peers} = this.options;
 		if (!peers.isZoned || peers.isZonePeer(sender)) {
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -1,13 +1,24 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import type {Culprit, EndpointCrash} from './types.js';
 
-/** Crashes with a part, and without a survival since the first of them, that convict the part. Five may happen before requests have to be withheld; two or three happen to rare parts by chance. */
-export const convictingCrashes = 4;
+/** Fewest crashes with a part, and without a survival since the first of them, that convict the part. Five may happen before requests have to be withheld; two or three happen to rare parts by chance. */
+const minimumCrashes = 4;
+
+/** Probability that all requests with a sound part end in crashes, above which the part is not convicted yet. */
+const chanceLimit = 1 / 2000;
+
+/** The same limit for a part that was in a large share of all crashes that nothing else explains, which a rare sound part hardly is. */
+const prominentChanceLimit = 1 / 20;
+const prominentShare = 0.4;
+
+/** Crashed and surviving requests that are assumed while few have been counted. */
+const assumedCrashed = 0.5;
+const assumedRequests = 5;
 
 /** Crashes within this time count once: endpoints that fail together, as in a power loss, say nothing about the requests there. */
 export const simultaneousMs: Milliseconds = 50;
 
-/** Crashes beyond `convictingCrashes` after which parts are convicted one by one although the crashes don't distinguish them. */
+/** Crashes beyond the required ones after which parts are convicted one by one although the crashes don't distinguish them. */
 const undecidedCrashes = 3;
 
 function countDistinct(crashes: readonly EndpointCrash[]): number {
@@ -45,30 +56,51 @@
 	return [...crashesByPart].map(([part, list]) => ({part, crashes: list, count: countDistinct(list)}));
 }
 
+/** Returns the number of crashes that convict a part: the more of comparable requests crash for no known reason, the more of them happen by chance. */
+function requiredCrashes({crashes: counted, count}: Candidate, unexplained: readonly EndpointCrash[]): number {
+	const [from, until] = [counted[0]!.at, counted.at(-1)!.at];
+	let allCrashed = assumedCrashed;
+	let all = assumedRequests;
+	for (const {at, comparisons} of unexplained) {
+		if (at >= from && at <= until) {
+			for (const {survived, crashed} of Object.values(comparisons)) {
+				allCrashed += crashed;
+				all += crashed + survived;
+			}
+		}
+	}
+
+	const isProminent = count >= prominentShare * countDistinct(unexplained.filter(({at}) => at >= from));
+	return Math.max(minimumCrashes, Math.ceil(Math.log(isProminent ? prominentChanceLimit : chanceLimit) / Math.log(allCrashed / all)));
+}
+
 /** Splits parts with the same crashes: those that one request of each crash had in common can't be told apart and are convicted together. */
-function convict(tied: readonly Candidate[]): Array<readonly string[]> {
+function convict(tied: readonly Candidate[], required: number): Array<readonly string[]> {
 	const parts = tied.map(({part}) => part);
 	const {crashes, count} = tied[0]!;
 	if (crashes.every(({suspects}) => suspects.some(suspect => hasAll(suspect, parts)))) {
 		return [parts];
 	}
 
-	return count >= convictingCrashes + undecidedCrashes ? parts.map(part => [part]) : [];
+	return count >= required + undecidedCrashes ? parts.map(part => [part]) : [];
 }
 
 /**
 Returns the parts that crash endpoints.
 
-A part is convicted when it was there in enough crashes and no request with it has survived since the first of them. The part with the most crashes comes first and explains its crashes; only the others count against the remaining parts. So a sound part that happened to be there is not convicted with it.
+A part is convicted when it was there in so many crashes, without a survival since the first of them, that it is no chance. The part with the most crashes comes first and explains its crashes; only the others count against the remaining parts. So a sound part that happened to be there is not convicted with it.
 
 @param crashes in order of time
 @param survivedAt when a request with a part last survived, or -Infinity
+@param isConvicted whether a part was convicted before; it remains so with fewer crashes than a new one needs
 */
-export function findCulprits(crashes: readonly EndpointCrash[], survivedAt: (part: string) => Milliseconds): Culprit[] {
+export function findCulprits(crashes: readonly EndpointCrash[], survivedAt: (part: string) => Milliseconds, isConvicted: (part: string) => boolean): Culprit[] {
 	const culprits: Culprit[] = [];
 	let unexplained = [...crashes];
 	for (;;) {
-		const candidates = findCandidates(unexplained, survivedAt).filter(({count}) => count >= convictingCrashes);
+		const from = unexplained;
+		const candidates = findCandidates(from, survivedAt)
+			.filter(candidate => candidate.count >= minimumCrashes && (isConvicted(candidate.part) || candidate.count >= requiredCrashes(candidate, from)));
 		const most = Math.max(0, ...candidates.map(({count}) => count));
 		const leading = candidates.find(({count}) => count === most);
 		if (leading === undefined) {
@@ -76,7 +108,7 @@
 		}
 
 		const isTied = (other: Candidate) => other.crashes.length === leading.crashes.length && other.crashes.every((crash, index) => crash === leading.crashes[index]);
-		const convicted = convict(candidates.filter(candidate => isTied(candidate)));
+		const convicted = convict(candidates.filter(candidate => isTied(candidate)), requiredCrashes(leading, unexplained));
 		for (const parts of convicted) {
 			culprits.push({parts, crashes: leading.crashes});
 		}
--- a/src/gateway/quarantine/prompt-quarantine.ts
+++ b/src/gateway/quarantine/prompt-quarantine.ts
@@ -3,7 +3,7 @@
 import {CrashEvidence} from './crash-evidence.js';
 import {findCulprits} from './culprits.js';
 import type {
-	Culprit, EndpointCrash, Evidence, PartSurvival,
+	Culprit, EndpointCrash, Evidence,
 } from './types.js';
 
 /** Shortest and longest time for which requests are withheld after the last crash. In between it grows with the time over which the parts have crashed endpoints, so each trial that fails about doubles it. */
@@ -17,9 +17,10 @@
 const trialIntervalMs: Milliseconds = 10_000;
 
 /** Crashes of a culprit that are kept beside the first one. */
-const keptCrashesPerCulprit = 5;
+const keptCrashesPerCulprit = 11;
 
 const maximumCulprits = 16;
+const maximumConvictedByOthers = 64;
 
 /** Minimum time that a refused caller is told to wait. */
 const minimumRetryAfterMs: Milliseconds = 1000;
@@ -83,6 +84,8 @@
 
 	readonly #evidence = CrashEvidence.create();
 	readonly #entries = new Map<string, QuarantineEntry>();
+	/** Parts that other instances have convicted; they may know more than the crashes that are kept. */
+	readonly #convictedByOthers = new Set<string>();
 
 	private constructor(private readonly options: PromptQuarantineOptions) {}
 
@@ -92,7 +95,7 @@
 
 	/** All evidence, for an instance that has just started or was out of touch. */
 	evidence(): Evidence {
-		return this.#evidence.all();
+		return {...this.#evidence.all(), convictions: this.entries().map(({parts}) => parts)};
 	}
 
 	/**
@@ -121,13 +124,20 @@
 		return this.#retryAfterMs(entry, now);
 	}
 
+	/** Whether requests with each of the parts have survived. */
+	haveSurvived(parts: readonly string[]): boolean {
+		return this.#evidence.haveSurvived(parts);
+	}
+
 	recordCrash(crash: EndpointCrash): void {
-		this.#apply({crashes: [crash], survivals: []}, crash.at);
+		const {crashes} = this.#evidence.add({crashes: [crash], survivals: []});
+		this.#report(crashes);
+		this.#update(crash.at);
 	}
 
 	recordSurvival(parts: readonly string[], now: Milliseconds): void {
 		if (this.#evidence.recordSurvival(parts, now)) {
-			this.#reportSurvivals([]);
+			this.#report([]);
 			this.#update(now);
 		}
 	}
@@ -136,12 +146,13 @@
 	receive(evidence: Evidence, now: Milliseconds): Evidence {
 		this.#evidence.markReported(evidence.survivals);
 		const news = this.#evidence.add(evidence);
-		if (news.crashes.length > 0 || news.survivals.length > 0) {
-			this.#reportSurvivals([]);
+		const convictions = evidence.convictions.filter(parts => this.#addConvictedByOthers(parts));
+		if (news.crashes.length > 0 || news.survivals.length > 0 || convictions.length > 0) {
+			this.#report([]);
 			this.#update(now);
 		}
 
-		return news;
+		return {...news, convictions};
 	}
 
 	/** Forgets what is too old. Called periodically. */
@@ -151,16 +162,22 @@
 		}
 	}
 
-	#apply(evidence: Evidence, now: Milliseconds): void {
-		const news = this.#evidence.add(evidence);
-		this.#reportSurvivals(news.crashes);
-		this.#update(now);
+	#addConvictedByOthers(parts: readonly string[]): boolean {
+		const isNews = parts.some(part => !this.#convictedByOthers.has(part)) && !this.#entries.has(entryKey(parts));
+		if (isNews && this.#convictedByOthers.size < maximumConvictedByOthers) {
+			for (const part of parts) {
+				this.#convictedByOthers.add(part);
+			}
+		}
+
+		return isNews;
 	}
 
-	#reportSurvivals(crashes: readonly EndpointCrash[]): void {
-		const survivals: readonly PartSurvival[] = this.#evidence.takeUnreportedSurvivals();
+	/** Tells the others of own crashes, and of survivals that they should know. */
+	#report(crashes: readonly EndpointCrash[]): void {
+		const survivals = this.#evidence.takeUnreportedSurvivals();
 		if (crashes.length > 0 || survivals.length > 0) {
-			this.options.onEvidence({crashes, survivals});
+			this.options.onEvidence({crashes, survivals, convictions: []});
 		}
 	}
 
@@ -194,7 +211,8 @@
 	}
 
 	#update(now: Milliseconds): void {
-		const culprits = findCulprits(this.#evidence.crashes(), part => this.#evidence.survivedAt(part));
+		const convicted = new Set([...this.#convictedByOthers, ...this.entries().flatMap(({parts}) => parts)]);
+		const culprits = findCulprits(this.#evidence.crashes(), part => this.#evidence.survivedAt(part), part => convicted.has(part));
 		const changes = [...this.#removeReleased(culprits), ...this.#removeExpired(culprits, now)];
 		for (const culprit of culprits.slice(0, maximumCulprits)) {
 			const added = this.#updateEntry(culprit, now);
@@ -203,10 +221,29 @@
 
 		this.#prune(culprits, now);
 		if (changes.length > 0) {
+			this.#publish(changes);
 			this.options.onChanges(changes);
 		}
 	}
 
+	#publish(changes: readonly QuarantineChange[]): void {
+		const convictions: Array<readonly string[]> = [];
+		for (const {kind, entry: {parts}} of changes) {
+			const isOwn = parts.some(part => !this.#convictedByOthers.has(part));
+			if (kind === 'parts-released') {
+				for (const part of parts) {
+					this.#convictedByOthers.delete(part);
+				}
+			} else if (isOwn) {
+				convictions.push(parts);
+			}
+		}
+
+		if (convictions.length > 0) {
+			this.options.onEvidence({crashes: [], survivals: [], convictions});
+		}
+	}
+
 	#removeReleased(culprits: readonly Culprit[]): QuarantineChange[] {
 		const keys = new Set(culprits.map(({parts}) => entryKey(parts)));
 		const changes: QuarantineChange[] = [];
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -67,7 +67,7 @@
 	/** Shared parts of prompts that end the process of the engine when it begins a response. Default: none. */
 	readonly endingParts?: ReadonlySet<string>;
 	/** Ends the process: closes the port and all connections. Required with `endingParts`. */
-	readonly onEnding?: () => void;
+	readonly onEnding?: (part: string) => void;
 	/** Awaited before each normal response. */
 	readonly beforeResponse?: () => Promise<void>;
 };
@@ -195,18 +195,19 @@
 		return handleFault !== undefined;
 	}
 
-	/** Whether one of the parts of a prompt ends this engine. The last part never does. */
-	#isEndedBy(request: IncomingMessage): boolean {
+	/** Returns the part of a prompt that ends this engine. The last part never does. */
+	#findEndingPart(request: IncomingMessage): string | undefined {
 		const parts = String(request.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':', 1)[0]!);
-		return parts.slice(0, -1).some(part => this.options.endingParts?.has(part));
+		return parts.slice(0, -1).find(part => this.options.endingParts?.has(part));
 	}
 
 	async #stream(request: IncomingMessage, response: ServerResponse, fault: EndpointFault | undefined): Promise<void> {
 		const {id, eventIntervalMs = 1, eventCount = 5} = this.options;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		if (this.#isEndedBy(request)) {
+		const endingPart = this.#findEndingPart(request);
+		if (endingPart !== undefined) {
 			await delay(endingDelayMs);
-			this.options.onEnding!();
+			this.options.onEnding!(endingPart);
 			return;
 		}
 
