--- /dev/null
+++ b/test/gateway/quarantine/crash-report-group.test.ts
@@ -0,0 +1,106 @@
+import test from 'ava';
+import {PeerGroup} from '../../../src/gateway/membership/peer-group.js';
+import {CrashReportExchange} from '../../../src/gateway/quarantine/crash-report-exchange.js';
+import type {Evidence} from '../../../src/gateway/quarantine/types.js';
+import {RandomSource} from '../../../standins/random-source.js';
+import {MembershipGroup, type GroupMember} from '../../fixtures/gateway/membership-group.js';
+import {testSeed} from '../../fixtures/seed.js';
+
+/** Time within which every instance has to know a part that crashes endpoints. */
+const contactMs = 3000;
+
+const crashCount = 4;
+
+function createRandom(): () => number {
+	const source = RandomSource.create(testSeed());
+	return () => source.integer(0, 999_999) / 1_000_000;
+}
+
+/** Lets instances of different zones see one crash each, a quarter of a second apart. */
+function crashEndpoints(group: MembershipGroup, from = 0): void {
+	const members = [...group.members.values()];
+	for (let index = 0; index < crashCount; index++) {
+		members[(index * 11) % members.length]!.quarantine.recordCrash({
+			endpointId: `engine-${from + index}`, startedAt: 1, at: group.now, suspects: [[`first-${index}`, 'bad']], comparisons: {},
+		});
+		group.advance(250);
+	}
+}
+
+function withholds({quarantine}: GroupMember, now: number): boolean {
+	return quarantine.withholdAdmitted(['bad'], now) !== undefined;
+}
+
+for (const {count, zones, lossRatio} of [{count: 7, zones: 4, lossRatio: 0.3}, {count: 70, zones: 4, lossRatio: 0.1}, {count: 200, zones: 4, lossRatio: 0.1}]) {
+	// Guards against crashes that are spread over the instances, of which each one sees too few.
+	test(`${count} instances withhold a part within the bound after crashes that different instances saw, while ${lossRatio * 100} % of datagrams are lost`, t => {
+		const group = MembershipGroup.create(count, zones, createRandom());
+		group.advance(9000);
+		group.lossRatio = lossRatio;
+		crashEndpoints(group);
+		group.advance(contactMs - 250);
+		t.deepEqual([...group.members.values()].filter(member => !withholds(member, group.now)).map(({host}) => host), []);
+	});
+}
+
+test('the datagrams for a crash do not grow with the square of the fleet', t => {
+	const maximumSent = [70, 210].map(count => {
+		const group = MembershipGroup.create(count, count / 14, createRandom());
+		group.advance(9000);
+		group.resetCounts();
+		group.advance(3000);
+		const before = Math.max(...[...group.members.values()].map(({receivedDatagrams}) => receivedDatagrams));
+		group.resetCounts();
+		crashEndpoints(group);
+		group.advance(2000);
+		return Math.max(...[...group.members.values()].map(({receivedDatagrams}) => receivedDatagrams)) - before;
+	});
+	t.log(`datagrams of one instance for ${crashCount} crashes: ${maximumSent.join(', ')}`);
+	t.true(maximumSent[1]! < 2 * maximumSent[0]!);
+});
+
+test('an instance that starts later, or was cut off with its zone, withholds the part within the bound', t => {
+	const group = MembershipGroup.create(48, 4, createRandom());
+	group.advance(9000);
+	group.cutZones.add('zone-3');
+	group.kill('10.0.0.5');
+	crashEndpoints(group);
+	group.advance(1000);
+	const cutOff = [...group.members.values()].filter(({availabilityZone}) => availabilityZone === 'zone-3');
+	t.true(cutOff.some(member => !withholds(member, group.now)));
+	group.cutZones.clear();
+	const started = group.start('10.0.0.5', 'zone-0');
+	group.advance(contactMs);
+	t.deepEqual([started, ...cutOff].filter(member => !withholds(member, group.now)).map(({host}) => host), []);
+});
+
+test('a survival that one instance saw releases the part everywhere', t => {
+	const group = MembershipGroup.create(70, 4, createRandom());
+	group.advance(9000);
+	crashEndpoints(group);
+	group.advance(contactMs);
+	group.members.get('10.2.0.7')!.quarantine.recordSurvival(['bad'], group.now);
+	group.advance(contactMs);
+	t.deepEqual([...group.members.values()].filter(member => withholds(member, group.now)).map(({host}) => host), []);
+});
+
+test('evidence that callers inflate is sent in datagrams that fit into one packet, and a bounded number of them', t => {
+	const peers = PeerGroup.create({ownHost: '10.0.0.1', availabilityZone: 'a', startedAt: 0});
+	peers.receive({
+		host: '10.0.0.2', availabilityZone: 'a', incarnation: 1, sequence: 1, isLeaving: false, inFlight: [], usage: [], knownHosts: [],
+	}, 0);
+	const crashes = Array.from({length: 64}, (_, index) => ({
+		endpointId: `engine-${index}`,
+		startedAt: 1,
+		at: index,
+		suspects: Array.from({length: 32}, (_unused, suspect) => Array.from({length: 16}, (_part, part) => `${index}-${suspect}-${part}`.padEnd(32, 'x'))),
+		comparisons: {},
+	}));
+	const evidence: Evidence = {crashes, survivals: [], convictions: []};
+	const exchange = CrashReportExchange.create({
+		peers, ownHost: '10.0.0.1', evidence: () => evidence, receive: () => evidence, random: () => 0,
+	});
+	const datagrams = [...exchange.publish(evidence, 100), ...exchange.tick(2000)].map(({datagram}) => datagram);
+	t.true(datagrams.length > 0 && datagrams.length < 1200, `${datagrams.length} datagrams`);
+	t.deepEqual(datagrams.filter(({byteLength}) => byteLength > 1400), []);
+});
