Crash engines on parts of prompts in the soak

Two checks: at most three requests with the part reach engines later than 3 s after the fifth crash (from instances without a fault, and counted anew after all were killed), and no other prompt is withheld.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -40,13 +40,15 @@
 	/** Hosts of the instances. */
 	readonly instances: readonly string[];
 	readonly keys: () => readonly CallerKey[];
+	/** Shared parts of the next prompt. */
+	readonly nextPromptParts: () => readonly string[];
 	readonly onRecord: (call: RequestRecord) => void;
 };
 
 let nextId = 0;
 
 /** Sends one request and resolves when its response has ended, complete or not. */
-async function sendRequestOfKind(agent: Agent, target: Pick<RequestRecord, 'kind' | 'instance' | 'key' | 'workspace'>, disconnectAfterMs?: Milliseconds): Promise<RequestRecord> {
+async function sendRequestOfKind(agent: Agent, target: Pick<RequestRecord, 'kind' | 'instance' | 'key' | 'workspace' | 'promptParts'>, disconnectAfterMs?: Milliseconds): Promise<RequestRecord> {
 	nextId++;
 	const {path, method, tokens, units} = requestTemplates[target.kind];
 	const record: RequestRecord = {
@@ -57,6 +59,7 @@
 	};
 	if (tokens !== undefined) {
 		headers['x-token-count'] = tokens;
+		headers['x-prompt-prefix'] = [...record.promptParts, `own-${nextId}`].map(part => `${part}:30`).join(',');
 	}
 
 	const abortController = new AbortController();
@@ -79,7 +82,7 @@
 }
 
 /** Sends requests one after another until the signal is aborted. The connection to an instance stays open until that instance closes it. */
-export async function runCaller({random, instances, keys, onRecord}: CallerOptions, signal: AbortSignal): Promise<void> {
+export async function runCaller({random, instances, keys, nextPromptParts, onRecord}: CallerOptions, signal: AbortSignal): Promise<void> {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	let instance = random.pick(instances)!;
 	while (!signal.aborted) {
@@ -90,7 +93,9 @@
 		const kind = random.pick(Object.values(requestKinds))!;
 		const disconnectAfterMs = random.chance(disconnectPercent) ? random.integer(1, maximumDisconnectDelayMs) : undefined;
 		// eslint-disable-next-line no-await-in-loop -- a caller sends one request after another
-		onRecord(await sendRequestOfKind(agent, {kind, instance, ...random.pick(keys())!}, disconnectAfterMs));
+		onRecord(await sendRequestOfKind(agent, {
+			kind, instance, ...random.pick(keys())!, promptParts: requestTemplates[kind].tokens === undefined ? [] : nextPromptParts(),
+		}, disconnectAfterMs));
 		// eslint-disable-next-line no-await-in-loop
 		await delay(random.integer(1, maximumPauseMs));
 	}
@@ -102,7 +107,9 @@
 export async function sendOneOfEachKind(instance: string, key: CallerKey): Promise<RequestRecord[]> {
 	return Promise.all(Object.values(requestKinds).map(async kind => {
 		const agent = new Agent();
-		const record = await sendRequestOfKind(agent, {kind, instance, ...key});
+		const record = await sendRequestOfKind(agent, {
+			kind, instance, ...key, promptParts: [],
+		});
 		agent.destroy();
 		return record;
 	}));
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -40,6 +40,10 @@
 /** Statuses that tell the caller that no endpoint has run the request. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+/** Crashes with a part after which it has to be withheld, and requests with it that may still reach engines. */
+const crashesUntilWithheld = 5;
+const requestsAfterWithheld = 3;
+
 const secondMs: Milliseconds = 1000;
 
 type Check = (history: History) => string[];
@@ -68,6 +72,18 @@
 	return !faultPeriods.some(period => period.instance === instance && period.at <= receivedAt && period.until >= sentAt - bounds.contactLossMs);
 }
 
+/** Times at which no instance ran, so that none remembers what engines crashed on. */
+function findFleetLosses({faultPeriods, events, processes}: History): Milliseconds[] {
+	const instances = [...new Set(processes.map(({instance}) => instance))];
+	const absences = [
+		...faultPeriods.filter(({kind}) => kind === 'killed'),
+		...events.filter(event => event.kind === 'stop-requested'),
+	];
+	return absences.map(({at}) => at)
+		.filter(at => instances.every(instance => absences.some(absence => absence.instance === instance && absence.at <= at && absence.until >= at)))
+		.toSorted((a, b) => a - b);
+}
+
 function isWithoutFaults({faultPeriods}: History, from: Milliseconds, until: Milliseconds): boolean {
 	return !faultPeriods.some(period => period.at <= until && period.until >= from - bounds.contactLossMs);
 }
@@ -184,6 +200,25 @@
 			return most > allowed ? [`${event.endpoint} got ${most} requests in a second while cold, of ${allowed} allowed`] : [];
 		});
 	},
+	'crashing-part-withheld'(history) {
+		const crashes = eventsOf(history, 'engine-crashed').toSorted((a, b) => a.at - b.at);
+		const boundaries = [-Infinity, ...findFleetLosses(history), Infinity];
+		return [...new Set(crashes.map(({part}) => part))].flatMap(part => boundaries.slice(1).flatMap((until, index) => {
+			const fifth = crashes.filter(crash => crash.part === part && crash.at >= boundaries[index]! && crash.at < until)[crashesUntilWithheld - 1];
+			const later = fifth === undefined
+				? []
+				: findExecutedRequests(history).filter(({request, received}) => request.promptParts.includes(part)
+					&& received.receivedAt > fifth.at + bounds.contactLossMs && received.receivedAt < until
+					&& isInstanceUnaffected(history, request, received));
+			return later.length > requestsAfterWithheld ? [`${later.length} requests with ${part} reached engines later than ${bounds.contactLossMs} ms after the fifth crash`] : [];
+		}));
+	},
+	'sound-prompt-not-withheld'(history) {
+		const crashingParts = new Set(eventsOf(history, 'engine-crashed').map(({part}) => part));
+		return history.requests
+			.filter(({status, body, promptParts}) => status === 503 && body.includes(':withheld') && !promptParts.some(part => crashingParts.has(part)))
+			.map(({requestId, instance, promptParts}) => `${requestId} with ${promptParts.join(',')} was withheld at ${instance}`);
+	},
 	'planned-stop-without-cut'(history) {
 		const receivedIds = new Set(history.receivedRequests.map(({requestId}) => requestId));
 		return eventsOf(history, 'stop-requested').flatMap(event => history.requests
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -214,6 +214,12 @@
 			await delay(1000);
 		});
 	},
+	/** Engines crash one after the other under requests with one part in their prompts. */
+	async crashingPart(site, random) {
+		const part = site.startCrashingPart();
+		await delay(random.integer(6000, 12_000));
+		site.endCrashingPart(part);
+	},
 	async restartEndpoint(site, random) {
 		const endpoint = random.pick(findRemovableEndpoints(site));
 		if (endpoint !== undefined) {
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -21,6 +21,8 @@
 	readonly instance: string;
 	readonly key: string;
 	readonly workspace: string;
+	/** Shared parts of its prompt. */
+	readonly promptParts: readonly string[];
 	/** Units that the request uses of the workspace's quota. */
 	readonly units: number;
 	readonly sentAt: Milliseconds;
@@ -50,6 +52,7 @@
 export type SiteEvent
 	= | {readonly kind: 'endpoint-draining'; readonly endpoint: string; readonly at: Milliseconds}
 		| {readonly kind: 'endpoint-cold'; readonly endpoint: string; readonly at: Milliseconds; readonly until: Milliseconds}
+		| {readonly kind: 'engine-crashed'; readonly endpoint: string; readonly part: string; readonly at: Milliseconds}
 		| {readonly kind: 'zone-evacuated'; readonly availabilityZone: string; readonly at: Milliseconds; until: Milliseconds}
 		| {readonly kind: 'key-revoked'; readonly key: string; readonly at: Milliseconds}
 		| {readonly kind: 'lookups-moved'; readonly service: string; readonly at: Milliseconds; until: Milliseconds}
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -15,6 +15,7 @@
 	createConfigurationDocument, createEndpointDocument, createSettingsDocument, instancePorts,
 } from '../standins/platform-documents.js';
 import {PlatformEndpoint} from '../standins/platform-endpoint.js';
+import type {RandomSource} from '../standins/random-source.js';
 import {PlatformStore} from '../standins/platform-store.js';
 import type {CallerKey} from './callers.js';
 import {bounds, limitedWorkspace, streamEventCount} from './checks.js';
@@ -53,6 +54,16 @@
 
 const stopGraceMs: Milliseconds = 8000;
 
+/** Time for which an engine that crashed is down. */
+const crashedDownMs: Milliseconds = 2500;
+
+/** Percentage of prompts with a part that crashes engines, while there is one. */
+const crashingPartPercent = 10;
+
+/** Numbers of the sound parts that prompts begin with and go on with. */
+const firstPartCount = 3;
+const middlePartCount = 40;
+
 /** Revoked keys that callers continue to use, as offsets from the current temporary key. */
 const revokedKeyOffsets = [-1, -2, -3] as const;
 
@@ -76,6 +87,7 @@
 	startCount: number;
 	/** Whether it is draining or restarting. */
 	isBusy: boolean;
+	isCrashed?: boolean;
 };
 
 /** The site under test: gateways as processes, and stand-ins of the store and the endpoints behind proxies. */
@@ -114,6 +126,10 @@
 	readonly #disposables = DisposableStore.create();
 	/** Every started stand-in, with its endpoint. */
 	readonly #endpointStarts: Array<{readonly endpoint: SoakEndpoint; readonly standIn: PlatformEndpoint}> = [];
+	/** All parts that have crashed engines, and those that callers send now. */
+	readonly #crashingParts = new Set<string>();
+	readonly #activeCrashingParts = new Set<string>();
+	#isDisposed = false;
 	#version = 0;
 	#lookupServiceIndex = 0;
 	#temporaryKeyNumber = 0;
@@ -135,6 +151,24 @@
 		];
 	}
 
+	nextPromptParts(random: RandomSource): string[] {
+		const active = [...this.#activeCrashingParts];
+		const middle = active.length > 0 && random.chance(crashingPartPercent) ? random.pick(active)! : `middle-${random.integer(1, middlePartCount)}`;
+		return [`first-${random.integer(1, firstPartCount)}`, middle];
+	}
+
+	/** From now on, callers send prompts with a new part that crashes engines. */
+	startCrashingPart(): string {
+		const part = `crashing-${this.#crashingParts.size + 1}`;
+		this.#crashingParts.add(part);
+		this.#activeCrashingParts.add(part);
+		return part;
+	}
+
+	endCrashingPart(part: string): void {
+		this.#activeCrashingParts.delete(part);
+	}
+
 	/** Writes a new version of the configuration. */
 	publishConfiguration(): void {
 		this.#version += 1 + (this.#version % 3);
@@ -197,17 +231,22 @@
 		this.store.remove(key);
 	}
 
-	async addEndpoint(service: string, availabilityZone: string): Promise<void> {
+	/** @param crashedPort port of the crashed endpoint that it replaces */
+	async addEndpoint(service: string, availabilityZone: string, crashedPort?: number): Promise<void> {
 		this.#lastEndpointNumber++;
 		const id = `e${this.#lastEndpointNumber}`;
 		const standIn = await this.#startStandIn(id, service);
-		const proxy = this.#disposables.add(await FaultProxy.start({target: standIn.address}));
+		const proxy = this.#disposables.add(await FaultProxy.start({target: standIn.address, port: crashedPort}));
 		const endpoint: SoakEndpoint = {
 			id, service, availabilityZone, proxy, standIn, startCount: 1, isBusy: false,
 		};
 		this.endpoints.push(endpoint);
 		this.#endpointStarts.push({endpoint, standIn});
-		this.#writeEndpointRecord(endpoint);
+		if (crashedPort === undefined) {
+			this.#writeEndpointRecord(endpoint);
+		} else {
+			this.#writeColdRecord(endpoint);
+		}
 	}
 
 	/**
@@ -237,15 +276,7 @@
 		endpoint.standIn = await this.#startStandIn(endpoint.id, endpoint.service, port);
 		endpoint.startCount++;
 		this.#endpointStarts.push({endpoint, standIn: endpoint.standIn});
-		const at = performance.now();
-		const isEngine = endpoint.service === engineService;
-		if (isEngine) {
-			this.events.push({
-				kind: 'endpoint-cold', endpoint: endpoint.id, at, until: at + coldMs,
-			});
-		}
-
-		this.#writeEndpointRecord(endpoint, {cold_remaining_ms: isEngine ? coldMs : 0}); // eslint-disable-line @typescript-eslint/naming-convention
+		this.#writeColdRecord(endpoint);
 		endpoint.isBusy = false;
 	}
 
@@ -295,6 +326,7 @@
 	}
 
 	async dispose(): Promise<void> {
+		this.#isDisposed = true;
 		await Promise.all(this.instances.map(async ({process: child}) => child.dispose()));
 		await Promise.all(this.endpoints.map(async ({standIn}) => standIn.dispose()));
 		await this.#disposables.dispose();
@@ -305,9 +337,14 @@
 	}
 
 	async #startStandIn(id: string, service: string, port?: number): Promise<PlatformEndpoint> {
-		return PlatformEndpoint.listen({
+		const standIn: PlatformEndpoint = await PlatformEndpoint.listen({
 			id, isEngine: service === engineService, eventIntervalMs, eventCount: streamEventCount, serviceTimeMs, port,
+			endingParts: this.#crashingParts,
+			onEnding: part => {
+				void this.#crashEngine(standIn, part);
+			},
 		});
+		return standIn;
 	}
 
 	#writeEndpointRecord({id, service, availabilityZone, proxy, startCount}: SoakEndpoint, values: Record<string, unknown> = {}): void {
@@ -316,6 +353,48 @@
 		}));
 	}
 
+	/** Writes the record of an endpoint that has started again. */
+	#writeColdRecord(endpoint: SoakEndpoint): void {
+		const at = performance.now();
+		const isEngine = endpoint.service === engineService;
+		if (isEngine) {
+			this.events.push({
+				kind: 'endpoint-cold', endpoint: endpoint.id, at, until: at + coldMs,
+			});
+		}
+
+		this.#writeEndpointRecord(endpoint, {cold_remaining_ms: isEngine ? coldMs : 0}); // eslint-disable-line @typescript-eslint/naming-convention
+	}
+
+	/** Crashes an engine under a request. It comes back at the same address under a new id. */
+	async #crashEngine(standIn: PlatformEndpoint, part: string): Promise<void> {
+		const endpoint = this.endpoints.find(other => other.standIn === standIn);
+		if (endpoint === undefined || endpoint.isCrashed) {
+			return;
+		}
+
+		endpoint.isCrashed = true;
+		const isReplaced = endpoint.isBusy;
+		endpoint.isBusy = true;
+		const {id, proxy, service, availabilityZone} = endpoint;
+		const {port} = splitAddress(proxy.address);
+		const period: FaultPeriod = {kind: 'engine-crashed', at: performance.now(), until: Infinity};
+		this.events.push({
+			kind: 'engine-crashed', endpoint: id, part, at: period.at,
+		});
+		this.faultPeriods.push(period);
+		// The proxy refuses connections as the crashed process would.
+		await Promise.all([proxy.dispose(), standIn.dispose()]);
+		await delay(crashedDownMs);
+		if (!isReplaced && !this.#isDisposed) {
+			this.store.remove(`servers/${id}`);
+			this.endpoints = this.endpoints.filter(other => other !== endpoint);
+			await this.addEndpoint(service, availabilityZone, port);
+		}
+
+		period.until = performance.now();
+	}
+
 	async #addInstance(host: string, zone: string, seeds: readonly string[]): Promise<void> {
 		const storeProxy = this.#disposables.add(await FaultProxy.start({target: `${this.store.address.host}:${this.store.address.port}`}));
 		const settingsPath = path.join(this.directory, `${host}.json`);
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -75,6 +75,7 @@
 */
 export async function runSoak({seed, durationMs, instances, callers, directory}: SoakOptions): Promise<SoakResult> {
 	const random = RandomSource.create(seed);
+	const promptRandom = RandomSource.create(seed - 1);
 	const site = await SoakSite.start(instances, directory);
 	const callersAbortController = new AbortController();
 	const requests: RequestRecord[] = [];
@@ -85,6 +86,7 @@
 		await site.waitUntilReady();
 		const callerRuns = Array.from({length: callers}, async (_, index) => runCaller({
 			random: RandomSource.create(seed + index + 1),
+			nextPromptParts: () => site.nextPromptParts(promptRandom),
 			instances: site.instances.map(({host}) => host),
 			keys: () => site.callerKeys(),
 			onRecord(record) {
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -10,7 +10,7 @@
 function createRequest(values: Partial<RequestRecord> = {}): RequestRecord {
 	const requestId = values.requestId ?? 'c1';
 	return {
-		requestId, kind: 'lookup', instance: 'i1', key: 'k', workspace: 'wick', units: 10, sentAt: 10_000, endedAt: 10_100, status: 200, body: `answer to ${requestId}`, isComplete: true, ...values,
+		requestId, kind: 'lookup', instance: 'i1', key: 'k', workspace: 'wick', promptParts: [], units: 10, sentAt: 10_000, endedAt: 10_100, status: 200, body: `answer to ${requestId}`, isComplete: true, ...values,
 	};
 }
 
@@ -46,6 +46,16 @@
 	kind: 'store', instance: 'i1', at: 6000, until: 9000,
 };
 
+const crashes: SiteEvent[] = [1000, 2000, 3000, 4000, 5000].map(at => ({
+	kind: 'engine-crashed', endpoint: `e${at}`, part: 'bad', at,
+}));
+const withheldRequest = {kind: 'stream', status: 503, body: '{"type":"urn:jackdawfork:withheld"}'} as const;
+
+/** Requests with the part that crashes engines, sent later than the bound after the fifth crash. */
+function createCrashingRequests(count: number): Pick<History, 'requests' | 'receivedRequests'> {
+	return createRequests(count, 100, {kind: 'draft', promptParts: ['first', 'bad'], status: 502});
+}
+
 /** For each check a history that violates the guarantee, and a similar one that does not. */
 const cases: Record<CheckName, {readonly broken: Partial<History>; readonly kept: Partial<History>}> = {
 	'runs-at-most-once': {
@@ -122,6 +132,14 @@
 			}],
 		},
 	},
+	'crashing-part-withheld': {
+		broken: {...createCrashingRequests(4), events: crashes},
+		kept: {...createCrashingRequests(3), events: crashes},
+	},
+	'sound-prompt-not-withheld': {
+		broken: {requests: [createRequest({...withheldRequest, promptParts: ['first', 'middle']})], events: crashes},
+		kept: {requests: [createRequest({...withheldRequest, promptParts: ['first', 'bad']})], events: crashes},
+	},
 	'planned-stop-without-cut': {
 		broken: {requests: [createRequest({...cutRequest, endedAt: 11_000})], events: [stopping]},
 		kept: {requests: [createRequest({...cutRequest, endedAt: 10_100})], receivedRequests: [], events: [stopping]},
@@ -147,6 +165,18 @@
 	});
 }
 
+test('a part may crash engines again after all instances were killed, because none remembers it', t => {
+	const killed = ['i1', 'i2'].map(instance => ({
+		kind: 'killed', instance, at: 5500, until: 6000,
+	}));
+	const history = {
+		...createCrashingRequests(6), events: crashes, processes: killed.map(({instance}) => ({instance, versions: []})),
+	};
+	t.true(checks['crashing-part-withheld'](createHistory(history)).length > 0);
+	t.deepEqual(checks['crashing-part-withheld'](createHistory({...history, faultPeriods: killed})), []);
+	t.true(checks['crashing-part-withheld'](createHistory({...history, faultPeriods: killed.slice(0, 1)})).length > 0);
+});
+
 test('a history without faults has no violations', t => {
 	t.deepEqual(findViolations(createHistory()), []);
 });
