Bound the cost of repairing evidence of crashes

Each second an instance encoded all evidence that it held and sent two datagrams of it; it now selects six crashes and survivals in rotation and encodes only these.

--- a/src/gateway/quarantine/crash-report-exchange.ts
+++ b/src/gateway/quarantine/crash-report-exchange.ts
@@ -20,8 +20,8 @@
 /** Interval at which an instance sends evidence that it holds to another one at random, for those that missed it. */
 const repairIntervalMs: Milliseconds = 1000;
 
-/** Reports in one repair; the next one goes on after them. */
-const reportsPerRepair = 2;
+/** Crashes and survivals in one repair; the next one goes on after them. */
+const itemsPerRepair = 6;
 
 /** Number of instances that send all evidence to one that has joined. */
 const greetingInstances = 4;
@@ -119,7 +119,7 @@
 
 	#pending: PendingItem[] = [];
 	#lastRepairAt: Milliseconds = -Infinity;
-	#repairedDatagrams = 0;
+	#repairedItems = 0;
 
 	private constructor(private readonly options: CrashReportExchangeOptions) {}
 
@@ -195,15 +195,19 @@
 
 		this.#lastRepairAt = now;
 		const hosts = peers.members().filter(host => host !== ownHost);
-		const datagrams = encodeItems(toItems(evidence()), now);
 		const target = hosts[Math.floor(random() * hosts.length)];
-		if (target === undefined || datagrams.length === 0) {
+		if (target === undefined) {
 			return [];
 		}
 
-		return Array.from({length: Math.min(reportsPerRepair, datagrams.length)}, () => {
-			this.#repairedDatagrams++;
-			return {datagram: datagrams[this.#repairedDatagrams % datagrams.length]!, targets: [target]};
-		});
+		const {crashes, survivals, convictions} = evidence();
+		const repaired = {crashes: this.#selectForRepair(crashes), survivals: this.#selectForRepair(survivals), convictions};
+		this.#repairedItems += itemsPerRepair;
+		return encodeItems(toItems(repaired), now).map(datagram => ({datagram, targets: [target]}));
+	}
+
+	/** Selects items in rotation, so that all are repaired in turn. */
+	#selectForRepair<RepairedItem>(items: readonly RepairedItem[]): RepairedItem[] {
+		return Array.from({length: Math.min(itemsPerRepair, items.length)}, (_, index) => items[(this.#repairedItems + index) % items.length]!);
 	}
 }
--- a/src/gateway/quarantine/prompt-quarantine.ts
+++ b/src/gateway/quarantine/prompt-quarantine.ts
@@ -159,6 +159,8 @@
 	expire(now: Milliseconds): void {
 		if (this.#evidence.crashes().length > 0) {
 			this.#update(now);
+		} else {
+			this.#convictedByOthers.clear();
 		}
 	}
 
