--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -217,7 +217,7 @@
 	/** Engines crash one after the other under requests with one part in their prompts. */
 	async crashingPart(site, random) {
 		const part = site.startCrashingPart();
-		await delay(random.integer(6000, 12_000));
+		await delay(random.integer(9000, 16_000));
 		site.endCrashingPart(part);
 	},
 	async restartEndpoint(site, random) {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -58,7 +58,7 @@
 const crashedDownMs: Milliseconds = 2500;
 
 /** Percentage of prompts with a part that crashes engines, while there is one. */
-const crashingPartPercent = 10;
+const crashingPartPercent = 20;
 
 /** Numbers of the sound parts that prompts begin with and go on with. */
 const firstPartCount = 3;
@@ -88,6 +88,7 @@
 	/** Whether it is draining or restarting. */
 	isBusy: boolean;
 	isCrashed?: boolean;
+	isRestarting?: boolean;
 };
 
 /** The site under test: gateways as processes, and stand-ins of the store and the endpoints behind proxies. */
@@ -255,6 +256,10 @@
 	@param servesForMs time for which it continues to serve after its record is gone
 	*/
 	async drainEndpoint(endpoint: SoakEndpoint, servesForMs: Milliseconds = 0): Promise<void> {
+		if (endpoint.isCrashed) {
+			return;
+		}
+
 		endpoint.isBusy = true;
 		this.#writeEndpointRecord(endpoint, {state: 'draining'});
 		this.events.push({kind: 'endpoint-draining', endpoint: endpoint.id, at: performance.now()});
@@ -269,6 +274,7 @@
 	/** Kills an endpoint and starts it again, cold, with the same id and address. */
 	async restartEndpoint(endpoint: SoakEndpoint, downMs: Milliseconds): Promise<void> {
 		endpoint.isBusy = true;
+		endpoint.isRestarting = true;
 		const {port} = splitAddress(endpoint.standIn.address);
 		await endpoint.standIn.dispose();
 		endpoint.proxy.resetConnections();
@@ -278,6 +284,7 @@
 		this.#endpointStarts.push({endpoint, standIn: endpoint.standIn});
 		this.#writeColdRecord(endpoint);
 		endpoint.isBusy = false;
+		endpoint.isRestarting = false;
 	}
 
 	/** Starts an instance's process again and waits until it is ready. */
@@ -369,7 +376,7 @@
 	/** Crashes an engine under a request. It comes back at the same address under a new id. */
 	async #crashEngine(standIn: PlatformEndpoint, part: string): Promise<void> {
 		const endpoint = this.endpoints.find(other => other.standIn === standIn);
-		if (endpoint === undefined || endpoint.isCrashed) {
+		if (endpoint === undefined || endpoint.isCrashed === true || endpoint.isRestarting === true) {
 			return;
 		}
 
