Keep convictions, and don't convict parts that requests survive with while all endpoints are down

The part at fault was convicted first, its requests in flight were cancelled, and the engines that they crashed 35 ms later named only the sound requests there. So the first part had more crashes, and the conviction changed over. What it costs: a part that turns bad after requests have survived with it crashes ten endpoints. Ruled out: a longer wait for the first conviction, which misses the bound of three requests.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -13,7 +13,7 @@
 const maximumBodyBytes = 4_194_304;
 
 /** Time from its first event after which a stream shows that its prompt does not crash the endpoint: an endpoint that crashes does so within 100 ms. */
-const survivalMs: Milliseconds = 500;
+const survivalMs: Milliseconds = 250;
 
 /** Classification of an endpoint's response by its head. */
 export const responseKinds = {
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -92,6 +92,7 @@
 			this.#attempt = undefined;
 			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled);
 			attempt.exchange?.cancel(new Error('the deadline of the request has passed'));
+			this.#recordAbandoned(attempt);
 			this.#fail({type: 'timedOut'});
 		} else if ((attempt.exchange?.receivedBytes ?? 0) > maximumReceivedBytes) {
 			attempt.exchange?.cancel(new Error(`the endpoint sent more than ${maximumReceivedBytes} bytes`));
@@ -116,6 +117,7 @@
 		this.context.scheduler.withdraw(this.#waitingRequest);
 		if (attempt !== undefined) {
 			attempt.exchange?.cancel(new Error('the prompt has a part that crashes endpoints'));
+			this.#recordAbandoned(attempt);
 			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
 		}
 
@@ -133,6 +135,7 @@
 		this.context.scheduler.withdraw(this.#waitingRequest);
 		if (attempt !== undefined) {
 			attempt.exchange?.cancel(new Error('the caller has disconnected'));
+			this.#recordAbandoned(attempt);
 			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
 		}
 
@@ -258,6 +261,13 @@
 		}
 	}
 
+	#recordAbandoned(attempt: Attempt): void {
+		const endpoint = this.context.findEndpoint(attempt.endpointId);
+		if (endpoint !== undefined && this.#possiblyRunBy.has(endpoint.id) && !this.#survived.has(attempt)) {
+			this.context.containment.recordAbandoned(endpoint, this.request.promptParts);
+		}
+	}
+
 	#recordSurvival(attempt: Attempt, now: Milliseconds, outcome?: AttemptOutcome): void {
 		if (!this.#survived.has(attempt) && attempt.hasSurvived(now, outcome)) {
 			this.#survived.add(attempt);
--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -102,6 +102,13 @@
 		}
 	}
 
+	/** Records that a request was cancelled at an endpoint before it had survived there. */
+	recordAbandoned(endpoint: EndpointRecord, parts: readonly string[]): void {
+		if (parts.length > 0) {
+			this.#detector.recordAbandoned(endpoint, parts);
+		}
+	}
+
 	recordSurvival(parts: readonly string[]): void {
 		if (parts.length === 0) {
 			return;
--- a/src/gateway/quarantine/crash-detector.ts
+++ b/src/gateway/quarantine/crash-detector.ts
@@ -7,6 +7,11 @@
 /** Time from the first broken connection to the check, in which the other connections of a crashed process break too. */
 const checkDelayMs: Milliseconds = 20;
 
+/** Time for which a request that was cancelled at an endpoint remains a suspect: the endpoint may have begun it. */
+const abandonedMs: Milliseconds = 1000;
+
+const maximumAbandoned = 256;
+
 /** Number of checks without a result after which nothing is concluded. */
 const maximumChecks = 3;
 
@@ -30,6 +35,8 @@
 		return new CrashDetector(options);
 	}
 
+	/** Requests that were cancelled lately, in order of time. */
+	#abandoned: Array<{readonly key: string; readonly suspect: Suspect; readonly at: Milliseconds}> = [];
 	/** Endpoints that are being checked. */
 	readonly #broken = new Map<string, BrokenEndpoint>();
 
@@ -48,6 +55,14 @@
 		}
 	}
 
+	/** Records that a request was cancelled at an endpoint that was not known to survive it. */
+	recordAbandoned(endpoint: EndpointRecord, suspect: Suspect): void {
+		this.#abandoned.push({key: crashKey({endpointId: endpoint.id, startedAt: endpoint.startedAt}), suspect, at: this.options.clock.now()});
+		if (this.#abandoned.length > 2 * maximumAbandoned) {
+			this.#abandoned = this.#abandoned.slice(-maximumAbandoned);
+		}
+	}
+
 	async #check(key: string, {endpoint, at, suspects}: BrokenEndpoint): Promise<void> {
 		const {isServing, probe, onCrash} = this.options;
 		let result: ConnectResult = connectResults.unknown;
@@ -60,8 +75,9 @@
 
 		this.#broken.delete(key);
 		if (result === connectResults.refused && isServing(endpoint)) {
+			const abandoned = this.#abandoned.filter(request => request.key === key && request.at >= at - abandonedMs).map(({suspect}) => suspect);
 			onCrash({
-				endpointId: endpoint.id, startedAt: endpoint.startedAt, at, suspects,
+				endpointId: endpoint.id, startedAt: endpoint.startedAt, at, suspects: [...suspects, ...abandoned],
 			});
 		}
 	}
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -2,7 +2,10 @@
 import type {Culprit, EndpointCrash} from './types.js';
 
 /** Fewest crashes with a part, and without a survival since the first of them, that convict the part. Five may happen before requests have to be withheld; two or three happen to rare parts by chance. */
-const minimumCrashes = 4;
+export const minimumCrashes = 4;
+
+/** The same number for a part that requests have survived with before: while all endpoints crash nothing survives, and common parts are in most crashes. */
+const minimumCrashesOfProven = 10;
 
 /** Probability that all requests with a sound part end in crashes, above which the part is not convicted yet. */
 const chanceLimit = 1 / 2000;
@@ -56,8 +59,16 @@
 	return [...crashesByPart].map(([part, list]) => ({part, crashes: list, count: countDistinct(list)}));
 }
 
+/** What is known of parts beside the crashes. */
+export type PartKnowledge = {
+	/** When a request with a part last survived, or -Infinity. */
+	readonly survivedAt: (part: string) => Milliseconds;
+	/** Parts that are convicted already, each with the number of crashes that suffices to keep them so. */
+	readonly convictions: ReadonlyArray<{readonly parts: readonly string[]; readonly sufficientCrashes: number}>;
+};
+
 /** Returns the number of crashes that convict a part: the more of comparable requests crash for no known reason, the more of them happen by chance. */
-function requiredCrashes({crashes: counted, count}: Candidate, unexplained: readonly EndpointCrash[]): number {
+function requiredCrashes({part, crashes: counted, count}: Candidate, unexplained: readonly EndpointCrash[], {survivedAt}: PartKnowledge): number {
 	const [from, until] = [counted[0]!.at, counted.at(-1)!.at];
 	let allCrashed = assumedCrashed;
 	let all = assumedRequests;
@@ -71,7 +82,27 @@
 	}
 
 	const isProminent = count >= prominentShare * countDistinct(unexplained.filter(({at}) => at >= from));
-	return Math.max(minimumCrashes, Math.ceil(Math.log(isProminent ? prominentChanceLimit : chanceLimit) / Math.log(allCrashed / all)));
+	const minimum = survivedAt(part) === -Infinity ? minimumCrashes : minimumCrashesOfProven;
+	return Math.max(minimum, Math.ceil(Math.log(isProminent ? prominentChanceLimit : chanceLimit) / Math.log(allCrashed / all)));
+}
+
+function isCrashUnder({suspects}: EndpointCrash, parts: readonly string[]): boolean {
+	return suspects.some(suspect => hasAll(suspect, parts));
+}
+
+/** Returns the parts that remain convicted. Several parts do not when a crash had only some of them. */
+function keepConvicted(crashes: readonly EndpointCrash[], {survivedAt, convictions}: PartKnowledge): Culprit[] {
+	const kept: Culprit[] = [];
+	for (const {parts, sufficientCrashes} of convictions) {
+		const since = Math.max(...parts.map(part => survivedAt(part)));
+		const counted = crashes.filter(crash => crash.at > since && isCrashUnder(crash, parts));
+		const isDistinguished = parts.length > 1 && crashes.some(crash => crash.at > since && !counted.includes(crash) && parts.some(part => isCrashUnder(crash, [part])));
+		if (counted.length >= sufficientCrashes && !isDistinguished && !kept.some(culprit => hasAll(parts, culprit.parts))) {
+			kept.push({parts, crashes: counted});
+		}
+	}
+
+	return kept;
 }
 
 /** Splits parts with the same crashes: those that one request of each crash had in common can't be told apart and are convicted together. */
@@ -91,16 +122,20 @@
 A part is convicted when it was there in so many crashes, without a survival since the first of them, that it is no chance. The part with the most crashes comes first and explains its crashes; only the others count against the remaining parts. So a sound part that happened to be there is not convicted with it.
 
 @param crashes in order of time
-@param survivedAt when a request with a part last survived, or -Infinity
-@param isConvicted whether a part was convicted before; it remains so with fewer crashes than a new one needs
 */
-export function findCulprits(crashes: readonly EndpointCrash[], survivedAt: (part: string) => Milliseconds, isConvicted: (part: string) => boolean): Culprit[] {
-	const culprits: Culprit[] = [];
-	let unexplained = [...crashes];
+export function findCulprits(crashes: readonly EndpointCrash[], knowledge: PartKnowledge): Culprit[] {
+	const culprits = keepConvicted(crashes, knowledge);
+	let unexplained = crashes.filter(crash => !culprits.some(({parts}) => isCrashUnder(crash, parts)));
 	for (;;) {
-		const from = unexplained;
-		const candidates = findCandidates(from, survivedAt)
-			.filter(candidate => candidate.count >= minimumCrashes && (isConvicted(candidate.part) || candidate.count >= requiredCrashes(candidate, from)));
+		const remaining = unexplained;
+		const required = new Map<Candidate, number>();
+		for (const candidate of findCandidates(remaining, knowledge.survivedAt)) {
+			if (candidate.count >= minimumCrashes) {
+				required.set(candidate, requiredCrashes(candidate, remaining, knowledge));
+			}
+		}
+
+		const candidates = [...required.keys()].filter(candidate => candidate.count >= required.get(candidate)!);
 		const most = Math.max(0, ...candidates.map(({count}) => count));
 		const leading = candidates.find(({count}) => count === most);
 		if (leading === undefined) {
@@ -108,7 +143,7 @@
 		}
 
 		const isTied = (other: Candidate) => other.crashes.length === leading.crashes.length && other.crashes.every((crash, index) => crash === leading.crashes[index]);
-		const convicted = convict(candidates.filter(candidate => isTied(candidate)), requiredCrashes(leading, unexplained));
+		const convicted = convict(candidates.filter(candidate => isTied(candidate)), required.get(leading)!);
 		for (const parts of convicted) {
 			culprits.push({parts, crashes: leading.crashes});
 		}
@@ -116,7 +151,7 @@
 		// Without a conviction, the next crash distinguishes the tied parts.
 		const explained = new Set(convicted.length === 0
 			? leading.crashes
-			: unexplained.filter(({suspects}) => suspects.some(suspect => convicted.some(parts => hasAll(suspect, parts)))));
-		unexplained = unexplained.filter(crash => !explained.has(crash));
+			: remaining.filter(crash => convicted.some(parts => isCrashUnder(crash, parts))));
+		unexplained = remaining.filter(crash => !explained.has(crash));
 	}
 }
--- a/src/gateway/quarantine/prompt-quarantine.ts
+++ b/src/gateway/quarantine/prompt-quarantine.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {hashText} from '../../shared/hash.js';
 import {CrashEvidence} from './crash-evidence.js';
-import {findCulprits} from './culprits.js';
+import {findCulprits, minimumCrashes} from './culprits.js';
 import type {
 	Culprit, EndpointCrash, Evidence,
 } from './types.js';
@@ -85,7 +85,7 @@
 	readonly #evidence = CrashEvidence.create();
 	readonly #entries = new Map<string, QuarantineEntry>();
 	/** Parts that other instances have convicted; they may know more than the crashes that are kept. */
-	readonly #convictedByOthers = new Set<string>();
+	readonly #convictedByOthers = new Map<string, readonly string[]>();
 
 	private constructor(private readonly options: PromptQuarantineOptions) {}
 
@@ -164,15 +164,15 @@
 		}
 	}
 
+	/** Adopts a conviction, but not of parts that requests of this instance have survived with. */
 	#addConvictedByOthers(parts: readonly string[]): boolean {
-		const isNews = parts.some(part => !this.#convictedByOthers.has(part)) && !this.#entries.has(entryKey(parts));
-		if (isNews && this.#convictedByOthers.size < maximumConvictedByOthers) {
-			for (const part of parts) {
-				this.#convictedByOthers.add(part);
-			}
+		const key = entryKey(parts);
+		const isAdopted = !this.#convictedByOthers.has(key) && !this.#entries.has(key) && !this.#evidence.haveSurvived(parts) && this.#convictedByOthers.size < maximumConvictedByOthers;
+		if (isAdopted) {
+			this.#convictedByOthers.set(key, parts);
 		}
 
-		return isNews;
+		return isAdopted;
 	}
 
 	/** Tells the others of own crashes, and of survivals that they should know. */
@@ -213,8 +213,13 @@
 	}
 
 	#update(now: Milliseconds): void {
-		const convicted = new Set([...this.#convictedByOthers, ...this.entries().flatMap(({parts}) => parts)]);
-		const culprits = findCulprits(this.#evidence.crashes(), part => this.#evidence.survivedAt(part), part => convicted.has(part));
+		const culprits = findCulprits(this.#evidence.crashes(), {
+			survivedAt: part => this.#evidence.survivedAt(part),
+			convictions: [
+				...this.entries().map(({parts}) => ({parts, sufficientCrashes: 1})),
+				...[...this.#convictedByOthers.values()].map(parts => ({parts, sufficientCrashes: minimumCrashes})),
+			],
+		});
 		const changes = [...this.#removeReleased(culprits), ...this.#removeExpired(culprits, now)];
 		for (const culprit of culprits.slice(0, maximumCulprits)) {
 			const added = this.#updateEntry(culprit, now);
@@ -231,11 +236,9 @@
 	#publish(changes: readonly QuarantineChange[]): void {
 		const convictions: Array<readonly string[]> = [];
 		for (const {kind, entry: {parts}} of changes) {
-			const isOwn = parts.some(part => !this.#convictedByOthers.has(part));
+			const isOwn = !this.#convictedByOthers.has(entryKey(parts));
 			if (kind === 'parts-released') {
-				for (const part of parts) {
-					this.#convictedByOthers.delete(part);
-				}
+				this.#convictedByOthers.delete(entryKey(parts));
 			} else if (isOwn) {
 				convictions.push(parts);
 			}
--- a/test/gateway/quarantine/crash-detector.test.ts
+++ b/test/gateway/quarantine/crash-detector.test.ts
@@ -57,3 +57,23 @@
 	const {crashes} = await detect([connectResults.refused], false);
 	t.deepEqual(crashes, []);
 });
+
+test('a request that was cancelled just before the crash is a suspect too', async t => {
+	const clock = ManualClock.create(100);
+	const crashes: DetectedCrash[] = [];
+	const detector = CrashDetector.create({
+		clock,
+		isServing: () => true,
+		probe: async () => connectResults.refused,
+		onCrash(crash) {
+			crashes.push(crash);
+		},
+	});
+	detector.recordAbandoned(createEndpoint(), ['long-ago']);
+	clock.advance(1500);
+	detector.recordAbandoned(createEndpoint(), ['bad']);
+	detector.recordAbandoned(createEndpoint({id: 'engine-2'}), ['elsewhere']);
+	detector.recordBroken(createEndpoint(), ['first']);
+	await until(() => crashes.length > 0);
+	t.deepEqual(crashes[0]!.suspects, [['first'], ['bad']]);
+});
