--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -124,6 +124,33 @@
 	}
 });
 
+// Guards against an outage that is assumed because the others were busy when they were asked.
+test('an instance that the store had turned away learns from the others that endpoints left, although they were busy when it asked', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	await site.addEndpoint({id: 'remaining', isEngine: false});
+	const instances = [await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy()];
+	const [{gateway, proxy}, {gateway: other}] = instances as [typeof instances[0], typeof instances[0]];
+	await until(() => instances.every(instance => instance.gateway.memoryLog.linesOf('peer-joined').length === 1));
+	const endpoint = await site.addEndpoint({id: 'leaving', isEngine: false});
+	await until(() => instances.every(instance => instance.gateway.memoryLog.linesOf('endpoint-added').some(line => line.includes('leaving'))));
+	proxy.setFault({resetsConnections: true});
+	site.store.remove('servers/leaving');
+	await until(() => !gateway.process.isReady && other.memoryLog.linesOf('endpoint-removed').length > 0);
+	gateway.memoryLog.onEvent('dependency-regained', () => {
+		// All instances share this thread, so none reads or answers a question meanwhile.
+		setImmediate(() => {
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 250);
+		});
+	});
+	proxy.clearFaults();
+	await until(() => gateway.process.isReady);
+	await Promise.all(Array.from({length: 12}, async () => call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'})));
+	t.deepEqual(endpoint.executedRequestIds, []);
+	t.deepEqual(gateway.memoryLog.linesOf('outage-assumed'), []);
+	t.is(gateway.memoryLog.linesOf('outage-disproved').length, 1);
+});
+
 // Guards against a process that ends because no request is open, while one that has arrived is unread because it was busy.
 test('a request that arrives while a stopping process is busy is answered before it ends', async t => {
 	const site = await GatewaySite.start();
