--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -7,4 +7,6 @@
 	{seed: 203, minutes: 0.6, cause: 'one broken request was not recognised as a restart'},
 	{seed: 2202, minutes: 0.4, cause: 'a busy process closed connections whose requests it had not read; beside load'},
 	{seed: 2312, minutes: 0.35, cause: 'a busy process ended while requests on open connections were unread'},
+	{seed: 9103, minutes: 0.45, cause: 'a sound first part was convicted while all engines were down'},
+	{seed: 9135, minutes: 0.45, cause: 'a sound first part was convicted while all engines were down, in place of the part at fault, whose requests had been cancelled'},
 ] as const;
