Don't take a crash with many suspects for news each time it is reported

Cause: with more than 32 suspects the merged list was a new array of the same content, so each repeated report counted as new and was passed on within its zone again, four times. Change: a crash that has as many suspects as are kept takes no more of them.

--- a/src/gateway/quarantine/crash-evidence.ts
+++ b/src/gateway/quarantine/crash-evidence.ts
@@ -20,6 +20,10 @@
 const reportedFromCrashes = 2;
 
 function mergeSuspects(first: readonly Suspect[], second: readonly Suspect[]): readonly Suspect[] {
+	if (first.length >= maximumSuspectsPerCrash) {
+		return first;
+	}
+
 	const byParts = new Map([...first, ...second].map(suspect => [suspect.join(','), suspect]));
 	return byParts.size === first.length ? first : [...byParts.values()].slice(0, maximumSuspectsPerCrash);
 }
