--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -11,6 +11,9 @@
 /** Timeout of a question to the reader; after it, this instance reads the store itself. */
 const askTimeoutMs = 150;
 
+/** Rounds of questions to witnesses: a busy instance reads the answers to the first one too late. */
+const witnessRounds = 2;
+
 /** Largest age of a confirmation that is taken over, in intervals. An older one means that the reader has lost the store, or has its state confirmed by others that it takes for the reader. */
 const maximumConfirmationIntervals = 1.5;
 
@@ -158,7 +161,7 @@
 
 			const datedAt = Math.min(sentAt, confirmed?.confirmedAt ?? Infinity);
 			const hasStoreServed = state.keepsMissing(snapshot, datedAt, receivedAt) && await this.#hasStoreServed();
-			const changes = state.apply(snapshot, datedAt, clock.now(), hasStoreServed);
+			const changes = state.apply(snapshot, datedAt, receivedAt, hasStoreServed);
 			if (changes.some(({kind}) => kind === 'endpoint-missing')) {
 				this.#schedule(this.#intervalMs);
 			}
@@ -176,10 +179,31 @@
 
 	/** Asks other instances whether they have read the store without a gap, because a record can't have expired then. */
 	async #hasStoreServed(): Promise<boolean> {
-		const {ask, findWitnesses, log} = this.options;
-		const hosts = findWitnesses();
+		const {findWitnesses, log} = this.options;
+		const asked = new Set<string>();
+		for (let round = 0; round < witnessRounds; round++) {
+			const hosts = findWitnesses();
+			// eslint-disable-next-line no-await-in-loop -- the second round is needed only when the first had no answer
+			const witness = await this.#findWitness(hosts);
+			if (witness !== undefined) {
+				log.event('outage-disproved', {dependency: 'store', witness});
+				return true;
+			}
+
+			for (const host of hosts) {
+				asked.add(host);
+			}
+		}
+
+		log.event('outage-assumed', {dependency: 'store', asked: [...asked].join(',')});
+		return false;
+	}
+
+	/** Returns the first host whose instance has read the store without a gap. */
+	async #findWitness(hosts: readonly string[]): Promise<string | undefined> {
+		const {ask} = this.options;
 		try {
-			const witness = await Promise.any(hosts.map(async host => {
+			return await Promise.any(hosts.map(async host => {
 				const answer = await ask(host, askTimeoutMs);
 				if (!this.#isRecent(answer) || answer.recordGraceMs > 0) {
 					throw new Error(`${host} does not know`);
@@ -187,11 +211,9 @@
 
 				return host;
 			}));
-			log.event('outage-disproved', {dependency: 'store', witness});
-			return true;
 		} catch {
-			log.event('outage-assumed', {dependency: 'store', asked: hosts.join(',')});
-			return false;
+			// None of them answered in time, or none knows.
+			return undefined;
 		}
 	}
 
