--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -12,7 +12,7 @@
 /** Largest response body. The body of a plain service is buffered until it is complete; the longest streams have about 200,000 bytes. */
 const maximumBodyBytes = 4_194_304;
 
-/** Time from its first event after which a stream shows that its prompt does not crash the endpoint: an endpoint that crashes does so within 100 ms. */
+/** Time from its first event after which a stream shows that its prompt does not crash the endpoint: one that crashes does so as it begins the response. */
 const survivalMs: Milliseconds = 250;
 
 /** Classification of an endpoint's response by its head. */
--- a/src/gateway/quarantine/crash-evidence.ts
+++ b/src/gateway/quarantine/crash-evidence.ts
@@ -132,6 +132,7 @@
 	Drops what is too old or too much.
 
 	@param kept crashes that show a culprit
+	@param dropped crashes of a culprit that are not needed any more
 	*/
 	prune(now: Milliseconds, kept: ReadonlySet<EndpointCrash>, dropped: ReadonlySet<EndpointCrash>): void {
 		const sizeBefore = this.#crashes.size;
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -19,7 +19,7 @@
 const assumedRequests = 5;
 
 /** Crashes within this time count once: endpoints that fail together, as in a power loss, say nothing about the requests there. */
-export const simultaneousMs: Milliseconds = 50;
+const simultaneousMs: Milliseconds = 50;
 
 /** Crashes beyond the required ones after which parts are convicted one by one although the crashes don't distinguish them. */
 const undecidedCrashes = 3;
