Send the request of the stop test while the process is busy, not after it

Cause: a race of the test. It noticed the end of the listener by a refused connection and then sent the request. When more than the 300 ms of the last wait pass in between, the stop has ended and the test resets the connection itself.

Change: the process logs 'closing' when it stops accepting connections, and the test sends from there, in the phase of the event loop after which timers run before anything is read.

Ruled out: a fault of the stop.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -262,6 +262,7 @@
 			isClosed = true;
 		});
 		const closedAt = clock.now();
+		log.event('closing', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(closedAt - stopAt)});
 		await this.#waitUntil(() => clock.now() >= endAt || isClosed || (this.#callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
 		this.#heartbeats.sendLeaving();
 		log.event('stopped', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(clock.now() - stopAt)});
--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -159,18 +159,23 @@
 	const caller = CallerThread.create(gateway.settings.callerAddress);
 	t.teardown(async () => caller.dispose());
 	await caller.waitUntilStarted();
+	const response = new Promise<string>(resolve => {
+		const sendWhileBusy = () => {
+			resolve(caller.send());
+			caller.blockUntilSent();
+			// The wait for the last requests ends meanwhile.
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 500);
+		};
+
+		gateway.memoryLog.onEvent('closing', () => {
+			// Later than the reading with which closing begins. After an immediate, timers run before anything is read.
+			setTimeout(() => {
+				setImmediate(sendWhileBusy);
+			}, 20);
+		});
+	});
 	const stopped = gateway.process.stop();
 	await caller.connect();
-	let isRefused = false;
-	while (!isRefused) {
-		// eslint-disable-next-line no-await-in-loop
-		isRefused = await call(gateway).then(() => false, () => true);
-	}
-
-	const response = caller.send();
-	caller.blockUntilSent();
-	// The wait for the last requests ends meanwhile.
-	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 500);
 	await stopped;
 	await gateway.process.dispose();
 	t.regex(await response, /^HTTP\/1\.1 \d{3} /v);
