Say that engines crash, also in stand-ins and tests, and crash them at more moments

Stand-ins and tests said that engines end, src and soak that they crash. They are CrashingEngines and crashing-parts now.

Crashing engines did so before their head only. They also crash after the head, inside the first event and after it, in turn, because instances see a connection that closes before or after the head. Each test process gives them a loopback address of its own, so that the port of an engine that is down remains free.

No change of the program.

--- a/soak/site.ts
+++ b/soak/site.ts
@@ -14,7 +14,7 @@
 import {
 	createConfigurationDocument, createEndpointDocument, createSettingsDocument, instancePorts,
 } from '../standins/platform-documents.js';
-import {PlatformEndpoint} from '../standins/platform-endpoint.js';
+import {crashMoments, PlatformEndpoint} from '../standins/platform-endpoint.js';
 import type {RandomSource} from '../standins/random-source.js';
 import {PlatformStore} from '../standins/platform-store.js';
 import type {CallerKey} from './callers.js';
@@ -32,6 +32,8 @@
 /** Services that lookups are routed to alternately. The service that receives a lookup shows which configuration is in force. */
 export const lookupServices = ['diaries', 'calendars'] as const;
 
+const allCrashMoments = Object.values(crashMoments).filter(moment => moment !== crashMoments.afterResponse);
+
 const engineCount = 4;
 
 /** Endpoints of each plain service. */
@@ -346,8 +348,9 @@
 	async #startStandIn(id: string, service: string, port?: number): Promise<PlatformEndpoint> {
 		const standIn: PlatformEndpoint = await PlatformEndpoint.listen({
 			id, isEngine: service === engineService, eventIntervalMs, eventCount: streamEventCount, serviceTimeMs, port,
-			endingParts: this.#crashingParts,
-			onEnding: part => {
+			crashingParts: this.#crashingParts,
+			crashMoment: allCrashMoments[this.#endpointStarts.length % allCrashMoments.length],
+			onCrash: part => {
 				void this.#crashEngine(standIn, part);
 			},
 		});
--- a/standins/ending-engines.ts
+++ b/standins/crashing-engines.ts
@@ -1,15 +1,21 @@
-/** Stand-in of a group of engines that certain parts of prompts end. Each engine comes back after a while, at the same address under a new id. */
+/** Stand-in of a group of engines that certain parts of prompts crash. Each engine comes back after a while, at the same address under a new id. */
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {splitAddress} from '../src/shared/address.js';
 import type {Milliseconds} from '../src/shared/clock.js';
 import type {Disposable} from '../src/shared/disposable-store.js';
-import {PlatformEndpoint, type PlatformEndpointOptions} from './platform-endpoint.js';
+import {crashMoments, PlatformEndpoint, type PlatformEndpointOptions} from './platform-endpoint.js';
 
-export type EndingEnginesOptions = {
+const allCrashMoments = Object.values(crashMoments).filter(moment => moment !== crashMoments.afterResponse);
+
+/** An address that no other process uses, so that the port of an engine remains free while it is down. */
+const engineHost = `127.${200 + (process.pid % 50)}.${Math.floor(process.pid / 50) % 250}.1`;
+
+export type CrashingEnginesOptions = {
 	readonly count: number;
 	/** Default: 2500. */
 	readonly downMs?: Milliseconds;
-	readonly endingParts: ReadonlySet<string>;
+	readonly crashingParts: ReadonlySet<string>;
 	readonly engine?: Partial<PlatformEndpointOptions>;
 	/** Called with each engine that has started, and with its position in the group. */
 	readonly onStart: (engine: PlatformEndpoint, position: number) => void;
@@ -17,9 +23,9 @@
 	readonly onReplace: (id: string) => void;
 };
 
-export class EndingEngines implements Disposable {
-	static async start(options: EndingEnginesOptions): Promise<EndingEngines> {
-		const engines = new EndingEngines(options);
+export class CrashingEngines implements Disposable {
+	static async start(options: CrashingEnginesOptions): Promise<CrashingEngines> {
+		const engines = new CrashingEngines(options);
 		for (let position = 0; position < options.count; position++) {
 			// eslint-disable-next-line no-await-in-loop
 			await engines.#start(position);
@@ -28,26 +34,26 @@
 		return engines;
 	}
 
-	/** The ends that a part of a prompt caused, on the process's monotonic clock. */
-	readonly ends: Array<{readonly part: string; readonly at: Milliseconds}> = [];
+	/** The crashes that a part of a prompt caused, on the process's monotonic clock. */
+	readonly crashes: Array<{readonly part: string; readonly at: Milliseconds}> = [];
 	/** All engines that were started. */
 	readonly started: PlatformEndpoint[] = [];
 	readonly #running = new Map<number, PlatformEndpoint>();
 	readonly #timers = new Set<NodeJS.Timeout>();
 	#isDisposed = false;
 
-	private constructor(private readonly options: EndingEnginesOptions) {}
+	private constructor(private readonly options: CrashingEnginesOptions) {}
 
 	/** The engines that run now. */
 	running(): PlatformEndpoint[] {
 		return [...this.#running.values()];
 	}
 
-	/** Ends an engine that no request has ended. It comes back like the others. */
+	/** Crashes an engine without a request. It comes back like the others. */
 	crash(engine: PlatformEndpoint): void {
 		for (const [position, other] of this.#running) {
 			if (other === engine) {
-				this.#end(engine, position);
+				this.#stop(engine, position);
 			}
 		}
 	}
@@ -64,14 +70,16 @@
 	async #start(position: number, port?: number): Promise<void> {
 		const engine: PlatformEndpoint = await PlatformEndpoint.listen({
 			isEngine: true,
+			crashMoment: allCrashMoments[this.started.length % allCrashMoments.length],
 			...this.options.engine,
 			id: `engine-${position}-${this.started.length}`,
+			host: engineHost,
 			port,
-			endingParts: this.options.endingParts,
-			onEnding: part => {
+			crashingParts: this.options.crashingParts,
+			onCrash: part => {
 				if (this.#running.get(position) === engine) {
-					this.ends.push({part, at: performance.now()});
-					this.#end(engine, position);
+					this.crashes.push({part, at: performance.now()});
+					this.#stop(engine, position);
 				}
 			},
 		});
@@ -80,7 +88,7 @@
 		this.options.onStart(engine, position);
 	}
 
-	#end(engine: PlatformEndpoint, position: number): void {
+	#stop(engine: PlatformEndpoint, position: number): void {
 		const {port} = splitAddress(engine.address);
 		this.#running.delete(position);
 		void engine.dispose();
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -34,8 +34,20 @@
 
 export type EndpointFault = (typeof endpointFaults)[keyof typeof endpointFaults];
 
-/** Time from the start of a response to the end of the engine that it ends. */
-const endingDelayMs: Milliseconds = 35;
+/** Time from the start of a response to the crash of the engine. */
+const crashDelayMs: Milliseconds = 35;
+
+/** How much of its response an engine has sent when it crashes. */
+export const crashMoments = {
+	beforeHead: 'before-head',
+	afterHead: 'after-head',
+	insideEvent: 'inside-event',
+	afterEvent: 'after-event',
+	/** The response is complete, and the engine crashes a moment later. */
+	afterResponse: 'after-response',
+} as const;
+
+export type CrashMoment = (typeof crashMoments)[keyof typeof crashMoments];
 
 /** A request as the endpoint received it. */
 export type ReceivedRequest = {
@@ -60,14 +72,18 @@
 	readonly eventIntervalMs?: number;
 	/** Default: 5. */
 	readonly eventCount?: number;
+	/** Default: 127.0.0.1. */
+	readonly host?: string;
 	/** Default: any free port. */
 	readonly port?: number;
 	/** Time that a plain service works on a request. Default: 0. */
 	readonly serviceTimeMs?: Milliseconds;
-	/** Shared parts of prompts that end the process of the engine when it begins a response. Default: none. */
-	readonly endingParts?: ReadonlySet<string>;
-	/** Ends the process: closes the port and all connections. Required with `endingParts`. */
-	readonly onEnding?: (part: string) => void;
+	/** Shared parts of prompts that crash the engine when it begins a response. Default: none. */
+	readonly crashingParts?: ReadonlySet<string>;
+	/** Default: before the head. */
+	readonly crashMoment?: CrashMoment;
+	/** Ends the process: closes the port and all connections. Required with `crashingParts`. */
+	readonly onCrash?: (part: string) => void;
 	/** Awaited before each normal response. */
 	readonly beforeResponse?: () => Promise<void>;
 };
@@ -94,6 +110,7 @@
 	static async listen(options: PlatformEndpointOptions): Promise<PlatformEndpoint> {
 		const endpoint = new PlatformEndpoint(options);
 		endpoint.#server = await StandInServer.listen({
+			host: options.host,
 			port: options.port,
 			routes: ['GET', 'POST'].map(method => ({
 				method,
@@ -195,23 +212,57 @@
 		return handleFault !== undefined;
 	}
 
-	/** Returns the part of a prompt that ends this engine. The last part never does. */
-	#findEndingPart(request: IncomingMessage): string | undefined {
+	/** Returns the part of a prompt that crashes this engine. The last part never does. */
+	#findCrashingPart(request: IncomingMessage): string | undefined {
 		const parts = String(request.headers['x-prompt-prefix'] ?? '').split(',').map(part => part.split(':', 1)[0]!);
-		return parts.slice(0, -1).find(part => this.options.endingParts?.has(part));
+		return parts.slice(0, -1).find(part => this.options.crashingParts?.has(part));
+	}
+
+	/** Sends what precedes a crash. */
+	#beginResponse(response: ServerResponse, writeHead: () => void, first: number): void {
+		const {eventCount = 5, crashMoment = crashMoments.beforeHead} = this.options;
+		const handlers: Record<CrashMoment, () => void> = {
+			'before-head': () => undefined,
+			'after-head'() {
+				writeHead();
+				response.flushHeaders();
+			},
+			'inside-event'() {
+				writeHead();
+				response.write(`id: ${first}\nda`);
+			},
+			'after-event'() {
+				writeHead();
+				response.write(formatStreamEvent(first));
+			},
+			'after-response'() {
+				writeHead();
+				for (let event = first; event <= eventCount; event++) {
+					response.write(formatStreamEvent(event));
+				}
+
+				response.end();
+			},
+		};
+		handlers[crashMoment]();
 	}
 
 	async #stream(request: IncomingMessage, response: ServerResponse, fault: EndpointFault | undefined): Promise<void> {
 		const {id, eventIntervalMs = 1, eventCount = 5} = this.options;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		const endingPart = this.#findEndingPart(request);
-		if (endingPart !== undefined) {
-			await delay(endingDelayMs);
-			this.options.onEnding!(endingPart);
+		const crashingPart = this.#findCrashingPart(request);
+		const writeHead = () => {
+			response.writeHead(200, {...sealHeaders(id, String(request.headers['x-request-id'])), 'content-type': 'text/event-stream'});
+		};
+
+		if (crashingPart !== undefined) {
+			this.#beginResponse(response, writeHead, first);
+			await delay(crashDelayMs);
+			this.options.onCrash!(crashingPart);
 			return;
 		}
 
-		response.writeHead(200, {...sealHeaders(id, String(request.headers['x-request-id'])), 'content-type': 'text/event-stream'});
+		writeHead();
 		for (let event = first; event <= eventCount && !response.destroyed; event++) {
 			// eslint-disable-next-line no-await-in-loop
 			await delay(eventIntervalMs);
--- a/test/gateway/ending-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -1,15 +1,16 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import type {EndingEngines} from '../../standins/ending-engines.js';
+import type {CrashingEngines} from '../../standins/crashing-engines.js';
+import type {CrashMoment} from '../../standins/platform-endpoint.js';
 import {RandomSource} from '../../standins/random-source.js';
 import {GatewaySite, type Gateway} from '../fixtures/gateway/gateway-site.js';
 import {
-	addEndingEngines, receivedWithPart, runPromptLoad, type PromptCall,
+	addCrashingEngines, receivedWithPart, runPromptLoad, type PromptCall,
 } from '../fixtures/gateway/prompt-load.js';
 import {testSeed} from '../fixtures/seed.js';
 import {until} from '../fixtures/until.js';
 
-/** Time after the fifth end within which the instances have to know the part, and number of requests with it that may reach engines later. */
+/** Time after the fifth crash within which the instances have to know the part, and number of requests with it that may reach engines later. */
 const contactMs = 3000;
 const allowedLater = 3;
 
@@ -18,16 +19,16 @@
 type Site = {
 	readonly site: GatewaySite;
 	readonly random: RandomSource;
-	readonly engines: EndingEngines;
+	readonly engines: CrashingEngines;
 	readonly gateways: Gateway[];
 };
 
-async function startSite(t: ExecutionContext, endingParts: ReadonlySet<string>, instanceCount = 5): Promise<Site> {
+async function startSite(t: ExecutionContext, crashingParts: ReadonlySet<string>, instanceCount = 5, crashMoment?: CrashMoment): Promise<Site> {
 	const seed = testSeed();
 	t.log(`seed ${seed}`);
 	const site = await GatewaySite.start();
 	t.teardown(async () => site.dispose());
-	const engines = await addEndingEngines(site, 18, endingParts, {eventIntervalMs: 30, eventCount: 8});
+	const engines = await addCrashingEngines(site, 18, crashingParts, {eventIntervalMs: 30, eventCount: 8, ...(crashMoment !== undefined && {crashMoment})});
 	t.teardown(async () => engines.dispose());
 	const gateways: Gateway[] = [];
 	for (let count = 0; count < instanceCount; count++) {
@@ -70,11 +71,11 @@
 }
 
 function assertWithheld(t: ExecutionContext, {engines, gateways}: Site, part: string): void {
-	const ends = engines.ends.filter(end => end.part === part);
-	t.true(ends.length > 0);
-	const fifthEnd = ends[4] ?? ends.at(-1)!;
-	const later = receivedWithPart(engines, part).filter(receivedAt => receivedAt > fifthEnd.at + contactMs);
-	t.true(later.length <= allowedLater, `${later.length} requests with ${part} reached engines later than ${contactMs} ms after the fifth end, ${ends.length} engines ended`);
+	const crashes = engines.crashes.filter(crash => crash.part === part);
+	t.true(crashes.length > 0);
+	const fifthCrash = crashes[4] ?? crashes.at(-1)!;
+	const later = receivedWithPart(engines, part).filter(receivedAt => receivedAt > fifthCrash.at + contactMs);
+	t.true(later.length <= allowedLater, `${later.length} requests with ${part} reached engines later than ${contactMs} ms after the fifth crash, ${crashes.length} engines crashed`);
 	t.true(gateways.every(gateway => isQuarantined(gateway, part)));
 }
 
@@ -83,41 +84,41 @@
 	t.deepEqual(calls.filter(({body}) => body?.includes('withheld')), []);
 }
 
-// Guards against engines that end one after the other, because each instance sends the next request with the same part to the next engine.
-test('requests with a part of their prompt that ends engines are withheld after the fifth end, and no others', async t => {
+// Guards against engines that crash one after the other, because each instance sends the next request with the same part to the next engine.
+test('requests with a part of their prompt that crashes engines are withheld after the fifth crash, and no others', async t => {
 	const site = await startSite(t, new Set(['bad']));
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
 	const sound = runSoundLoad(site, abortController.signal);
 	await delay(1000);
-	const ending = runPromptLoad({
+	const crashing = runPromptLoad({
 		gateways, random, perSecond: 6, nextParts: () => ['first-a', 'bad'],
 	}, abortController.signal);
 	await until(() => gateways.some(gateway => isQuarantined(gateway, 'bad')));
 	await delay((2 * contactMs) + 3000);
 	abortController.abort();
-	const [soundCalls, endingCalls] = await Promise.all([sound, ending]);
+	const [soundCalls, crashingCalls] = await Promise.all([sound, crashing]);
 
 	assertWithheld(t, site, 'bad');
 	assertNothingSoundWithheld(t, soundCalls);
 	const isBegun = new Set(engines.started.flatMap(({receivedRequests}) => receivedRequests.map(({requestId}) => requestId)));
-	const soundLater = soundCalls.filter(({parts, sentAt}) => parts[0] === 'first-a' && sentAt > engines.ends.at(-1)!.at + (2 * contactMs));
+	const soundLater = soundCalls.filter(({parts, sentAt}) => parts[0] === 'first-a' && sentAt > engines.crashes.at(-1)!.at + (2 * contactMs));
 	t.true(soundLater.filter(({requestId}) => isBegun.has(requestId)).length >= soundLater.length / 2, 'sound requests with the same first part begin');
-	const refused = endingCalls.filter(({status}) => status === 503);
+	const refused = crashingCalls.filter(({status}) => status === 503);
 	t.true(refused.length > 10);
 	t.deepEqual(refused.filter(({requestId}) => isBegun.has(requestId)), [], 'a request that is refused as not run has reached no engine');
 	t.deepEqual(refused.filter(({body, retryAfterSeconds}) => body?.includes('withheld') && !(retryAfterSeconds! > 60)), [], 'callers are not told to come back at once');
 });
 
 // Guards against a verdict on parts that were in crashes by chance, and against one that is missed because other faults look the same.
-test('two parts that end engines, one of them a first part, are found beside crashes and lost responses, and nothing sound is withheld', async t => {
+test('two parts that crash engines, one of them a first part, are found beside other crashes and lost responses, and nothing sound is withheld', async t => {
 	const site = await startSite(t, new Set(['bad', 'bad-first']));
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
 	const sound = runSoundLoad(site, abortController.signal);
 	const disturbed = disturbEngines(site, abortController.signal);
 	await delay(1000);
-	const ending = [
+	const crashing = [
 		runPromptLoad({
 			gateways, random, perSecond: 5, nextParts: () => [random.pick(firstParts)!, 'bad', `middle-${random.integer(1, 40)}`],
 		}, abortController.signal),
@@ -128,7 +129,7 @@
 	await until(() => gateways.some(gateway => isQuarantined(gateway, 'bad') && isQuarantined(gateway, 'bad-first')));
 	await delay(contactMs + 4000);
 	abortController.abort();
-	const [soundCalls] = await Promise.all([sound, disturbed, ...ending]);
+	const [soundCalls] = await Promise.all([sound, disturbed, ...crashing]);
 	assertWithheld(t, site, 'bad');
 	assertWithheld(t, site, 'bad-first');
 	assertNothingSoundWithheld(t, soundCalls);
@@ -161,16 +162,16 @@
 	const site = await startSite(t, new Set(['bad']), 3);
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
-	const ending = runPromptLoad({
+	const crashing = runPromptLoad({
 		gateways, random, perSecond: 8, nextParts: () => ['first-a', 'bad'],
 	}, abortController.signal);
 	await until(() => gateways.every(({memoryLog}) => memoryLog.linesOf('parts-quarantined').length > 0));
 	abortController.abort();
-	await ending;
+	await crashing;
 	const added = await site.site.addGateway();
 	await until(() => added.memoryLog.linesOf('parts-quarantined').length > 0);
-	// A request that was cancelled when the part was convicted may have ended one more engine.
-	const endCount = engines.ends.length;
+	// A request that was cancelled when the part was convicted may have crashed one more engine.
+	const crashCount = engines.crashes.length;
 	const later = new AbortController();
 	const refused = runPromptLoad({
 		gateways: [added], random, perSecond: 20, nextParts: () => ['first-a', 'bad'],
@@ -180,5 +181,5 @@
 	const calls = await refused;
 	t.true(calls.length > 0);
 	t.deepEqual(calls.filter(({status, body}) => status !== 503 || !body!.includes('withheld')), []);
-	t.is(engines.ends.length, endCount);
+	t.is(engines.crashes.length, crashCount);
 });
