Withhold started streams that wait to be continued elsewhere

Seen: a stream with a crashing part whose engine has crashed after its first events waits for another engine when its part is convicted, and goes on there: it crashes one more engine.

Cause: a conviction ended only requests whose response had not begun, so that sound streams in progress are not cut. One that waits has no endpoint that could be cut.

Change: a started stream is left alone only while an endpoint sends it.

Test: without the change the waiting stream is completed by the other engine.

--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -101,9 +101,9 @@
 		}
 	}
 
-	/** Ends the request if its prompt has parts that crash endpoints, unless its response has begun. */
+	/** Ends the request if its prompt has parts that crash endpoints, unless an endpoint is sending a response that has begun. */
 	withholdIfQuarantined(): void {
-		if (this.#isEnded || this.#isHeadSent) {
+		if (this.#isEnded || (this.#isHeadSent && this.#attempt !== undefined)) {
 			return;
 		}
 
--- a/test/gateway/forwarding/forward-task.test.ts
+++ b/test/gateway/forwarding/forward-task.test.ts
@@ -1,6 +1,9 @@
+import {once} from 'node:events';
+import {createSocket} from 'node:dgram';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {HttpResponse} from '../../../src/gateway/callers/http-response.js';
+import {encodeCrashReport} from '../../../src/gateway/quarantine/crash-report-codec.js';
 import type {PlatformEndpoint} from '../../../standins/platform-endpoint.js';
 import {call} from '../../fixtures/gateway/caller.js';
 import {GatewaySite, type Gateway} from '../../fixtures/gateway/gateway-site.js';
@@ -217,3 +220,44 @@
 	t.is(gateway.memoryLog.linesOf('request-error').length, 5);
 	t.is(executedRequests(endpoints).length, 6);
 });
+
+/** Tells an instance of crashes that convict a part. */
+async function reportCrashes({settings}: Gateway, part: string): Promise<void> {
+	const socket = createSocket('udp4');
+	const report = encodeCrashReport({
+		crashes: [0, 1000, 2000, 3000].map(ageMs => ({
+			endpointId: `crashed-${ageMs}`, startedAt: 1, ageMs, suspects: [[part]], comparisons: {},
+		})),
+		survivals: [],
+		convictions: [],
+	});
+	socket.send(report, settings.internalPorts.first, settings.host);
+	await once(socket, 'listening');
+	await delay(100);
+	socket.close();
+}
+
+// Guards against a stream that crashes a further engine, because it already waited to be continued when its prompt was found to crash engines.
+test('a started stream that waits for another endpoint is not continued there when its prompt has to be withheld', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const busy = await site.addEndpoint({
+		id: 'busy', isEngine: true, eventIntervalMs: 150, eventCount: 8,
+	}, {slots: 1});
+	const gateway = await site.addGateway();
+	const occupying = call(gateway, {path: '/streams/1', method: 'POST', body: 'x'});
+	await until(() => busy.receivedRequests.length === 1);
+	const broken = await site.addEndpoint({id: 'broken', isEngine: true});
+	await until(() => gateway.memoryLog.linesOf('endpoint-added').length === 2);
+	broken.faults.push('cut-stream');
+	const waiting = call(gateway, {
+		path: '/streams/2', method: 'POST', body: 'x', headers: {'x-request-id': 'waiting', 'x-prompt-prefix': 'bad:50,own:50'},
+	});
+	await until(() => gateway.memoryLog.linesOf('attempt-failed').length === 1);
+	await reportCrashes(gateway, 'bad');
+	t.like(await waiting, {status: 200, isComplete: false});
+	t.like(await occupying, {status: 200, isComplete: true});
+	await delay(200);
+	t.deepEqual(busy.executedRequestIds.filter(id => id === 'waiting'), []);
+	t.is(gateway.memoryLog.linesOf('request-withheld').length, 1);
+});
