Don't take a short response for a survival before its endpoint could crash

Cause: a complete response counted as proof at once that its prompt is sound. A short one may be complete before the crash that it causes, and each such response cleared all crashes before it.

Change: a response that ends within the 250 ms in which crashes are expected is confirmed 400 ms later. If its endpoint is known to have crashed by then, its request becomes a suspect. If its parts have never survived, the endpoint is probed, because nobody notices the crash of one that has no other request.

What it costs: a sound part that only short responses have is known to be sound 0.4 s later, and a short response with parts that nobody has survived with costs one connection without a request.

--- a/soak/site.ts
+++ b/soak/site.ts
@@ -32,7 +32,7 @@
 /** Services that lookups are routed to alternately. The service that receives a lookup shows which configuration is in force. */
 export const lookupServices = ['diaries', 'calendars'] as const;
 
-const allCrashMoments = Object.values(crashMoments).filter(moment => moment !== crashMoments.afterResponse);
+const allCrashMoments = Object.values(crashMoments);
 
 const engineCount = 4;
 
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -121,10 +121,14 @@
 		return this.options.route.isResumable;
 	}
 
-	/** Whether the endpoint has run the request without crashing: it sent a whole response, or its stream goes on. */
-	hasSurvived(now: Milliseconds, outcome?: AttemptOutcome): boolean {
-		const isWhole = outcome === attemptOutcomes.completed && this.#head !== undefined && this.#head.status < 300;
-		return isWhole || (this.#firstEventAt !== undefined && now - this.#firstEventAt >= survivalMs);
+	/** Whether the endpoint has run the request for long enough to show that it does not crash under it. */
+	hasSurvived(now: Milliseconds): boolean {
+		return this.#firstEventAt !== undefined && now - this.#firstEventAt >= survivalMs;
+	}
+
+	/** Whether the endpoint has sent a whole response to the request. */
+	isAnswered(outcome: AttemptOutcome): boolean {
+		return outcome === attemptOutcomes.completed && this.#head !== undefined && this.#head.status < 300;
 	}
 
 	/** Average time between the events of the stream, if it had enough of them. */
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -268,13 +268,21 @@
 		}
 	}
 
-	#recordSurvival(attempt: Attempt, now: Milliseconds, outcome?: AttemptOutcome): void {
-		if (!this.#survived.has(attempt) && attempt.hasSurvived(now, outcome)) {
+	#recordSurvival(attempt: Attempt, now: Milliseconds): void {
+		if (!this.#survived.has(attempt) && attempt.hasSurvived(now)) {
 			this.#survived.add(attempt);
 			this.context.containment.recordSurvival(this.request.promptParts);
 		}
 	}
 
+	/** Records a whole response that ended too early to be a survival: its endpoint may still crash. */
+	#recordShortResponse(attempt: Attempt, outcome: AttemptOutcome): void {
+		const endpoint = this.context.findEndpoint(attempt.endpointId);
+		if (endpoint !== undefined && !this.#survived.has(attempt) && attempt.isAnswered(outcome)) {
+			this.context.containment.recordShortResponse(endpoint, this.request.promptParts);
+		}
+	}
+
 	/** Sends the head once; a stream that continues at another endpoint keeps the head of its first response. */
 	#sendHead(attempt: Attempt): void {
 		if (!this.#isHeadSent) {
@@ -314,7 +322,8 @@
 			this.#possiblyRunBy.delete(attempt.endpointId);
 		}
 
-		this.#recordSurvival(attempt, now, outcome);
+		this.#recordSurvival(attempt, now);
+		this.#recordShortResponse(attempt, outcome);
 		if (outcome === attemptOutcomes.completed) {
 			this.#finish(attempt);
 			return;
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -65,7 +65,7 @@
 	readonly acquireConnection: (endpoint: EndpointRecord, isRetryable: boolean) => EndpointConnection;
 	/** Whether the request may still be sent to the endpoint. */
 	readonly maySend: (endpoint: EndpointRecord) => boolean;
-	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordSurvival'>;
+	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	readonly onEnd: (result: ForwardResult) => void;
 };
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -431,6 +431,7 @@
 			task.enforceTimeouts(now);
 		}
 
+		this.#containment.confirmSurvivals();
 		this.#schedulers.dispatchWaiting();
 		this.#connectionPools.closeIdleConnections();
 
--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -1,5 +1,5 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
-import {probeConnection} from '../../shared/probe-connection.js';
+import {connectResults, probeConnection} from '../../shared/probe-connection.js';
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
 import type {PeerChange, PeerGroup} from '../membership/peer-group.js';
 import type {EventLog} from '../observability/event-log.js';
@@ -7,6 +7,7 @@
 import {CrashDetector} from './crash-detector.js';
 import {CrashReportExchange} from './crash-report-exchange.js';
 import {PromptQuarantine, type QuarantineChange} from './prompt-quarantine.js';
+import {ShortResponses, type ShortResponse} from './short-responses.js';
 import {SurvivorCount} from './survivor-count.js';
 import type {DetectedCrash, Evidence} from './types.js';
 
@@ -53,6 +54,7 @@
 	readonly #quarantine: PromptQuarantine;
 	readonly #detector: CrashDetector;
 	readonly #survivors = SurvivorCount.create();
+	readonly #shortResponses = ShortResponses.create();
 
 	private constructor(private readonly options: CrashContainmentOptions) {
 		const {ownHost, clock, peers, isServing, send, random} = options;
@@ -109,17 +111,33 @@
 		}
 	}
 
+	/** Records that an endpoint has run a request long enough to show that its prompt does not crash it. */
 	recordSurvival(parts: readonly string[]): void {
-		if (parts.length === 0) {
-			return;
+		if (parts.length > 0) {
+			this.#recordSurvival(parts, this.options.clock.now());
 		}
+	}
 
-		const now = this.options.clock.now();
-		if (this.#quarantine.haveSurvived(parts)) {
-			this.#survivors.record(now);
+	/** Records a complete response that took too little time to be a survival yet. */
+	recordShortResponse(endpoint: EndpointRecord, parts: readonly string[]): void {
+		if (parts.length > 0) {
+			this.#shortResponses.add({endpoint, parts, endedAt: this.options.clock.now()});
 		}
+	}
 
-		this.#quarantine.recordSurvival(parts, now);
+	/** Takes short responses for survivals whose endpoints have not crashed since, and their requests for suspects otherwise. Called periodically. */
+	confirmSurvivals(): void {
+		for (const response of this.#shortResponses.takeConfirmed(this.options.clock.now())) {
+			const {endpoint, parts, endedAt} = response;
+			const crash = this.#quarantine.findCrash({endpointId: endpoint.id, startedAt: endpoint.startedAt});
+			if (crash !== undefined) {
+				this.#quarantine.recordCrash({...crash, suspects: [parts], comparisons: {}});
+			} else if (this.#quarantine.haveSurvived(parts)) {
+				this.#recordSurvival(parts, endedAt);
+			} else {
+				void this.#confirmByProbe(response);
+			}
+		}
 	}
 
 	handlePeerChanges(changes: readonly PeerChange[]): void {
@@ -148,6 +166,26 @@
 		}));
 	}
 
+	/** An endpoint that no other request was at crashes without a broken connection. */
+	async #confirmByProbe({endpoint, parts, endedAt}: ShortResponse): Promise<void> {
+		const result = await probeConnection(endpoint.address, probeTimeoutMs);
+		if (result === connectResults.opened) {
+			this.#recordSurvival(parts, endedAt);
+		} else if (result === connectResults.refused && this.options.isServing(endpoint)) {
+			this.#onCrash({
+				endpointId: endpoint.id, startedAt: endpoint.startedAt, at: endedAt, suspects: [parts],
+			});
+		}
+	}
+
+	#recordSurvival(parts: readonly string[], at: Milliseconds): void {
+		if (this.#quarantine.haveSurvived(parts)) {
+			this.#survivors.record(at);
+		}
+
+		this.#quarantine.recordSurvival(parts, at);
+	}
+
 	#onCrash(crash: DetectedCrash): void {
 		const {ownHost, clock, log, onCrash} = this.options;
 		const now = clock.now();
--- a/src/gateway/quarantine/crash-evidence.ts
+++ b/src/gateway/quarantine/crash-evidence.ts
@@ -66,6 +66,10 @@
 		return this.#sortedCrashes;
 	}
 
+	findCrash(endpoint: Pick<EndpointCrash, 'endpointId' | 'startedAt'>): EndpointCrash | undefined {
+		return this.#crashes.get(crashKey(endpoint));
+	}
+
 	survivedAt(part: string): Milliseconds {
 		return this.#survivedAt.get(part) ?? -Infinity;
 	}
--- a/src/gateway/quarantine/prompt-quarantine.ts
+++ b/src/gateway/quarantine/prompt-quarantine.ts
@@ -129,6 +129,10 @@
 		return this.#evidence.haveSurvived(parts);
 	}
 
+	findCrash(endpoint: Pick<EndpointCrash, 'endpointId' | 'startedAt'>): EndpointCrash | undefined {
+		return this.#evidence.findCrash(endpoint);
+	}
+
 	recordCrash(crash: EndpointCrash): void {
 		const {crashes} = this.#evidence.add({crashes: [crash], survivals: []});
 		this.#report(crashes);
--- a/standins/crashing-engines.ts
+++ b/standins/crashing-engines.ts
@@ -6,7 +6,7 @@
 import type {Disposable} from '../src/shared/disposable-store.js';
 import {crashMoments, PlatformEndpoint, type PlatformEndpointOptions} from './platform-endpoint.js';
 
-const allCrashMoments = Object.values(crashMoments).filter(moment => moment !== crashMoments.afterResponse);
+const allCrashMoments = Object.values(crashMoments);
 
 /** An address that no other process uses, so that the port of an engine remains free while it is down. */
 const engineHost = `127.${200 + (process.pid % 50)}.${Math.floor(process.pid / 50) % 250}.1`;
--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -183,3 +183,18 @@
 	t.deepEqual(calls.filter(({status, body}) => status !== 503 || !body!.includes('withheld')), []);
 	t.is(engines.crashes.length, crashCount);
 });
+
+// Guards against a response that counts as proof of a sound prompt, although its engine crashes right after it.
+test('a part is withheld whose requests get whole responses before their engines crash, also at engines without other requests', async t => {
+	const site = await startSite(t, new Set(['bad']), 3, 'after-response');
+	const {gateways, random} = site;
+	const abortController = new AbortController();
+	const crashing = runPromptLoad({
+		gateways, random, perSecond: 6, nextParts: () => [random.pick(firstParts)!, 'bad'],
+	}, abortController.signal);
+	await until(() => gateways.some(gateway => isQuarantined(gateway, 'bad')));
+	await delay(contactMs + 1500);
+	abortController.abort();
+	await crashing;
+	assertWithheld(t, site, 'bad');
+});
