Convict rare parts less often by chance, and confirm short responses sooner

Seen: 'two parts that crash engines ... nothing sound is withheld' failed once in three whole runs of the tests: a sound request was withheld.

Cause: parts that no request has survived with yet. Four crashes convicted one of them although a sixth of comparable requests crashed, when it was in 0.4 of the unexplained crashes, counted so that an outage of all engines is one; that there were dozens of such parts did not count.

Change: the chance is divided by the number of such parts, a prominent part has to be in half of all crashes, single ones counted, and seven crashes suffice for it however many comparable requests crash.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -126,6 +126,11 @@
 		return this.#firstEventAt !== undefined && now - this.#firstEventAt >= survivalMs;
 	}
 
+	/** Until when the endpoint may crash under the request, if it ends now. */
+	crashesUntil(now: Milliseconds): Milliseconds {
+		return (this.#firstEventAt ?? now) + survivalMs;
+	}
+
 	/** Whether the endpoint has sent a whole response to the request. */
 	isAnswered(outcome: AttemptOutcome): boolean {
 		return outcome === attemptOutcomes.completed && this.#head !== undefined && this.#head.status < 300;
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -276,10 +276,10 @@
 	}
 
 	/** Records a whole response that ended too early to be a survival: its endpoint may still crash. */
-	#recordShortResponse(attempt: Attempt, outcome: AttemptOutcome): void {
+	#recordShortResponse(attempt: Attempt, now: Milliseconds, outcome: AttemptOutcome): void {
 		const endpoint = this.context.findEndpoint(attempt.endpointId);
 		if (endpoint !== undefined && !this.#survived.has(attempt) && attempt.isAnswered(outcome)) {
-			this.context.containment.recordShortResponse(endpoint, this.request.promptParts);
+			this.context.containment.recordShortResponse(endpoint, this.request.promptParts, attempt.crashesUntil(now));
 		}
 	}
 
@@ -323,7 +323,7 @@
 		}
 
 		this.#recordSurvival(attempt, now);
-		this.#recordShortResponse(attempt, outcome);
+		this.#recordShortResponse(attempt, now, outcome);
 		if (outcome === attemptOutcomes.completed) {
 			this.#finish(attempt);
 			return;
--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -32,6 +32,8 @@
 	readonly random: () => number;
 };
 
+type EndpointResponse = ShortResponse & {readonly endpoint: EndpointRecord};
+
 /** State of one quarantine entry, as operators read it. */
 export type QuarantineStatus = {
 	readonly parts: readonly string[];
@@ -54,7 +56,7 @@
 	readonly #quarantine: PromptQuarantine;
 	readonly #detector: CrashDetector;
 	readonly #survivors = SurvivorCount.create();
-	readonly #shortResponses = ShortResponses.create();
+	readonly #shortResponses = ShortResponses.create<EndpointResponse>();
 
 	private constructor(private readonly options: CrashContainmentOptions) {
 		const {ownHost, clock, peers, isServing, send, random} = options;
@@ -118,22 +120,26 @@
 		}
 	}
 
-	/** Records a complete response that took too little time to be a survival yet. */
-	recordShortResponse(endpoint: EndpointRecord, parts: readonly string[]): void {
+	/**
+	Records a complete response that took too little time to be a survival yet.
+
+	@param crashesUntil until when the endpoint may crash under the request
+	*/
+	recordShortResponse(endpoint: EndpointRecord, parts: readonly string[], crashesUntil: Milliseconds): void {
 		if (parts.length > 0) {
-			this.#shortResponses.add({endpoint, parts, endedAt: this.options.clock.now()});
+			this.#shortResponses.add({endpoint, parts, crashesUntil});
 		}
 	}
 
 	/** Takes short responses for survivals whose endpoints have not crashed since, and their requests for suspects otherwise. Called periodically. */
 	confirmSurvivals(): void {
 		for (const response of this.#shortResponses.takeConfirmed(this.options.clock.now())) {
-			const {endpoint, parts, endedAt} = response;
+			const {endpoint, parts, crashesUntil} = response;
 			const crash = this.#quarantine.findCrash({endpointId: endpoint.id, startedAt: endpoint.startedAt});
-			if (crash !== undefined) {
+			if (crash !== undefined && crash.at <= crashesUntil) {
 				this.#quarantine.recordCrash({...crash, suspects: [parts], comparisons: {}});
 			} else if (this.#quarantine.haveSurvived(parts)) {
-				this.#recordSurvival(parts, endedAt);
+				this.#recordSurvival(parts, crashesUntil);
 			} else {
 				void this.#confirmByProbe(response);
 			}
@@ -167,13 +173,13 @@
 	}
 
 	/** An endpoint that no other request was at crashes without a broken connection. */
-	async #confirmByProbe({endpoint, parts, endedAt}: ShortResponse): Promise<void> {
+	async #confirmByProbe({endpoint, parts, crashesUntil}: EndpointResponse): Promise<void> {
 		const result = await probeConnection(endpoint.address, probeTimeoutMs);
 		if (result === connectResults.opened) {
-			this.#recordSurvival(parts, endedAt);
+			this.#recordSurvival(parts, crashesUntil);
 		} else if (result === connectResults.refused && this.options.isServing(endpoint)) {
 			this.#onCrash({
-				endpointId: endpoint.id, startedAt: endpoint.startedAt, at: endedAt, suspects: [parts],
+				endpointId: endpoint.id, startedAt: endpoint.startedAt, at: crashesUntil, suspects: [parts],
 			});
 		}
 	}
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -4,15 +4,26 @@
 /** Fewest crashes with a part, and without a survival since the first of them, that convict the part. Five may happen before requests have to be withheld; two or three happen to rare parts by chance. */
 export const minimumCrashes = 4;
 
-/** The same number for a part that requests have survived with before: while all endpoints crash nothing survives, and common parts are in most crashes. */
-const minimumCrashesOfProven = 10;
+type ConvictionLimits = {
+	readonly minimumCrashes: number;
+	/** Probability that all requests with a sound part end in crashes, above which the part is not convicted yet. */
+	readonly chanceLimit: number;
+	/** Share of all crashes that nothing else explains from which a part is prominent. A rare sound part hardly is. */
+	readonly prominentShare: number;
+	readonly prominentChanceLimit: number;
+	/** Crashes that convict a prominent part although most of the comparable requests crash. */
+	readonly maximumOfProminent: number;
+};
 
-/** Probability that all requests with a sound part end in crashes, above which the part is not convicted yet. */
-const chanceLimit = 1 / 2000;
+/** Limits for parts that no request has survived with. */
+const unprovenLimits: ConvictionLimits = {
+	minimumCrashes, chanceLimit: 1 / 5000, prominentShare: 0.5, prominentChanceLimit: 1 / 500, maximumOfProminent: 7,
+};
 
-/** The same limit for a part that was in a large share of all crashes that nothing else explains, which a rare sound part hardly is. */
-const prominentChanceLimit = 1 / 20;
-const prominentShare = 0.4;
+/** Limits for the others: while all endpoints crash nothing survives, and common parts are in most crashes. */
+const provenLimits: ConvictionLimits = {
+	minimumCrashes: 10, chanceLimit: 1 / 2000, prominentShare: 0.4, prominentChanceLimit: 1 / 20, maximumOfProminent: Infinity,
+};
 
 /** Crashed and surviving requests that are assumed while few have been counted. */
 const assumedCrashed = 0.5;
@@ -67,8 +78,13 @@
 	readonly convictions: ReadonlyArray<{readonly parts: readonly string[]; readonly sufficientCrashes: number}>;
 };
 
+/** Returns the number of suspected parts that no request has survived with. The more there are, the likelier all requests of one of them crash by chance. */
+function countUnproven(crashes: readonly EndpointCrash[], {survivedAt}: PartKnowledge): number {
+	return new Set(crashes.flatMap(({suspects}) => suspects.flat()).filter(part => survivedAt(part) === -Infinity)).size;
+}
+
 /** Returns the number of crashes that convict a part: the more of comparable requests crash for no known reason, the more of them happen by chance. */
-function requiredCrashes({part, crashes: counted, count}: Candidate, unexplained: readonly EndpointCrash[], {survivedAt}: PartKnowledge): number {
+function requiredCrashes({part, crashes: counted, count}: Candidate, unexplained: readonly EndpointCrash[], unprovenCount: number, {survivedAt}: PartKnowledge): number {
 	const [from, until] = [counted[0]!.at, counted.at(-1)!.at];
 	let allCrashed = assumedCrashed;
 	let all = assumedRequests;
@@ -81,9 +97,12 @@
 		}
 	}
 
-	const isProminent = count >= prominentShare * countDistinct(unexplained.filter(({at}) => at >= from));
-	const minimum = survivedAt(part) === -Infinity ? minimumCrashes : minimumCrashesOfProven;
-	return Math.max(minimum, Math.ceil(Math.log(isProminent ? prominentChanceLimit : chanceLimit) / Math.log(allCrashed / all)));
+	const isUnproven = survivedAt(part) === -Infinity;
+	const limits = isUnproven ? unprovenLimits : provenLimits;
+	const isProminent = counted.length >= limits.prominentShare * unexplained.filter(({at}) => at >= from).length;
+	const chance = isProminent ? limits.prominentChanceLimit / (isUnproven ? unprovenCount : 1) : limits.chanceLimit;
+	const required = Math.ceil(Math.log(chance) / Math.log(allCrashed / all));
+	return Math.max(limits.minimumCrashes, isProminent ? Math.min(required, limits.maximumOfProminent) : required);
 }
 
 function isCrashUnder({suspects}: EndpointCrash, parts: readonly string[]): boolean {
@@ -128,10 +147,11 @@
 	let unexplained = crashes.filter(crash => !culprits.some(({parts}) => isCrashUnder(crash, parts)));
 	for (;;) {
 		const remaining = unexplained;
+		const unprovenCount = countUnproven(remaining, knowledge);
 		const required = new Map<Candidate, number>();
 		for (const candidate of findCandidates(remaining, knowledge.survivedAt)) {
 			if (candidate.count >= minimumCrashes) {
-				required.set(candidate, requiredCrashes(candidate, remaining, knowledge));
+				required.set(candidate, requiredCrashes(candidate, remaining, unprovenCount, knowledge));
 			}
 		}
 
