--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -66,6 +66,30 @@
 	}
 }
 
+/** Kills instances and replaces them, evacuates a zone and releases engines. */
+async function disruptSite({site, gateways, engines, random}: Site): Promise<void> {
+	site.store.put('op/evacuate/b', {});
+	const leaving = engines.running().slice(0, 2);
+	for (const engine of leaving) {
+		site.register(engine, {state: 'draining'});
+	}
+
+	for (let kill = 0; kill < 2; kill++) {
+		const [killed] = gateways.splice(random.integer(0, gateways.length - 1), 1);
+		// eslint-disable-next-line no-await-in-loop
+		await killed!.process.dispose();
+		// eslint-disable-next-line no-await-in-loop
+		gateways.push(await site.addGateway());
+	}
+
+	await delay(contactMs);
+	for (const {options: {id}} of leaving) {
+		site.store.remove(`servers/${id}`);
+	}
+
+	site.store.remove('op/evacuate/b');
+}
+
 function isQuarantined({memoryLog}: Gateway, part: string): boolean {
 	return memoryLog.linesOf('parts-quarantined').some(line => line.includes(` parts=${part} `));
 }
@@ -198,3 +222,23 @@
 	await crashing;
 	assertWithheld(t, site, 'bad');
 });
+
+// Guards against evidence that is lost with the instances that saw it, and against a verdict on sound parts while engines leave and whole zones are out.
+test('a part is withheld, and nothing sound, while instances are killed and replaced, a zone is evacuated and engines leave', async t => {
+	const site = await startSite(t, new Set(['bad']));
+	const {gateways, random} = site;
+	const abortController = new AbortController();
+	const sound = runSoundLoad(site, abortController.signal);
+	await delay(1000);
+	const crashing = runPromptLoad({
+		gateways, random, perSecond: 6, nextParts: () => [random.pick(firstParts)!, 'bad'],
+	}, abortController.signal);
+	await until(() => site.engines.crashes.length >= 2);
+	await disruptSite(site);
+	await until(() => gateways.every(gateway => isQuarantined(gateway, 'bad')));
+	await delay(contactMs + 1000);
+	abortController.abort();
+	const [soundCalls] = await Promise.all([sound, crashing]);
+	assertWithheld(t, site, 'bad');
+	assertNothingSoundWithheld(t, soundCalls);
+});
