Tell instances of survivals before the crashes that they exonerate

Cause: evidence for an instance that has joined takes several datagrams, the crashes first. The instance convicted the part by them before it was told that requests with it had survived, and a conviction stays until a survival later than the last crash.

Change: survivals come first.

Test: the instance convicts the part before, nothing after.

--- a/src/gateway/quarantine/crash-report-exchange.ts
+++ b/src/gateway/quarantine/crash-report-exchange.ts
@@ -71,10 +71,11 @@
 	return groups.map(suspects => ({...crash, suspects}));
 }
 
+/** Survivals come first: an instance that knows only the crashes could convict a sound part. */
 function toItems({crashes, survivals, convictions}: Evidence): Item[] {
 	return [
-		...crashes.flatMap(crash => splitCrash(crash)).map(crash => ({kind: 'crash' as const, crash})),
 		...survivals.map(survival => ({kind: 'survival' as const, survival})),
+		...crashes.flatMap(crash => splitCrash(crash)).map(crash => ({kind: 'crash' as const, crash})),
 		...convictions.map(parts => ({kind: 'conviction' as const, parts})),
 	];
 }
--- a/test/gateway/quarantine/crash-report-group.test.ts
+++ b/test/gateway/quarantine/crash-report-group.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava';
+import {unpack} from 'msgpackr';
 import {PeerGroup} from '../../../src/gateway/membership/peer-group.js';
+import {crashReportFrom} from '../../../src/gateway/quarantine/crash-report-codec.js';
 import {CrashReportExchange} from '../../../src/gateway/quarantine/crash-report-exchange.js';
+import {PromptQuarantine} from '../../../src/gateway/quarantine/prompt-quarantine.js';
 import type {Evidence} from '../../../src/gateway/quarantine/types.js';
 import {RandomSource} from '../../../standins/random-source.js';
 import {MembershipGroup, type GroupMember} from '../../fixtures/gateway/membership-group.js';
@@ -104,3 +107,39 @@
 	t.true(datagrams.length > 0 && datagrams.length < 1200, `${datagrams.length} datagrams`);
 	t.deepEqual(datagrams.filter(({byteLength}) => byteLength > 1400), []);
 });
+
+// Guards against an instance that has just started and convicts a sound part by the crashes it is told of, before it is told of the survivals.
+test('an instance that is told of many crashes knows which of their parts have survived before', t => {
+	const peers = PeerGroup.create({ownHost: '10.0.0.1', availabilityZone: 'a', startedAt: 0});
+	const crashes = Array.from({length: 8}, (_, index) => ({
+		endpointId: `engine-${index}`,
+		startedAt: 1,
+		at: 5000 + (1000 * index),
+		suspects: Array.from({length: 8}, (_unused, suspect) => ['first', `rare-${index}-${suspect}`.padEnd(32, 'x')]),
+		comparisons: {},
+	}));
+	const evidence: Evidence = {crashes, survivals: [{part: 'first', at: 1000}], convictions: []};
+	const exchange = CrashReportExchange.create({
+		peers, ownHost: '10.0.0.1', evidence: () => evidence, receive: () => evidence, random: () => 0,
+	});
+	const convicted: Array<readonly string[]> = [];
+	const started = PromptQuarantine.create({
+		ownHost: '10.0.0.2', members: () => ['10.0.0.2'], knowsMembers: () => true, onEvidence: () => undefined,
+		onChanges(changes) {
+			convicted.push(...changes.map(({entry}) => entry.parts));
+		},
+	});
+	const now = 13_000;
+	const datagrams = exchange.greet('10.0.0.2', now);
+	t.true(datagrams.length > 1);
+	for (const {datagram} of datagrams) {
+		const report = crashReportFrom(unpack(datagram));
+		started.receive({
+			crashes: report.crashes.map(({ageMs, ...crash}) => ({...crash, at: now - ageMs})),
+			survivals: report.survivals.map(({ageMs, part}) => ({part, at: now - ageMs})),
+			convictions: report.convictions,
+		}, now);
+	}
+
+	t.deepEqual(convicted, []);
+});
