Give instances of the soak time to get ready again when their store was faulty meanwhile

An instance that has read no configuration may not be ready, so this is allowed.

Change: 12 s are required in which no fault of its store was in force. The bound is the same otherwise.

--- a/soak/site.ts
+++ b/soak/site.ts
@@ -9,7 +9,7 @@
 import type {Milliseconds} from '../src/shared/clock.js';
 import {DisposableStore} from '../src/shared/disposable-store.js';
 import {FaultProxy} from '../standins/fault-proxy.js';
-import {waitFor} from '../standins/fleet/deadline.js';
+import {DeadlineError, waitFor} from '../standins/fleet/deadline.js';
 import {FleetProcess, parseLogLine} from '../standins/fleet/fleet-process.js';
 import {
 	createConfigurationDocument, createEndpointDocument, createSettingsDocument, instancePorts,
@@ -430,13 +430,33 @@
 	}
 
 	/** Reads readiness as the load balancer does. */
-	async #waitUntilInstanceReady({host}: Instance): Promise<void> {
+	/** An instance that could not read the store meanwhile gets the time again: without a configuration it may not be ready. */
+	async #waitUntilInstanceReady(instance: Instance): Promise<void> {
+		for (;;) {
+			const startedAt = performance.now();
+			try {
+				// eslint-disable-next-line no-await-in-loop
+				await this.#waitForReadiness(instance);
+				return;
+			} catch (error) {
+				if (!(error instanceof DeadlineError) || !this.#hadStoreFault(instance, startedAt)) {
+					throw error;
+				}
+			}
+		}
+	}
+
+	async #waitForReadiness({host}: Instance): Promise<void> {
 		await waitFor(async () => {
 			const response = await fetch(`http://${host}:${instancePorts.readiness}${platformProtocol.readinessPath}`, {signal: AbortSignal.timeout(1000)});
 			return response.status === 200;
 		}, {what: `${host} is ready`, timeoutMs: readyTimeoutMs});
 	}
 
+	#hadStoreFault({host}: Instance, since: Milliseconds): boolean {
+		return this.faultPeriods.some(({kind, instance, until}) => kind === 'store' && instance === host && until > since);
+	}
+
 	#logPath(host: string): string {
 		return path.join(this.directory, `${host}.log`);
 	}
