--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -9,6 +9,6 @@
 	{seed: 2312, minutes: 0.35, cause: 'a busy process ended while requests on open connections were unread'},
 	{seed: 9103, minutes: 0.45, cause: 'a sound first part was convicted while all engines were down'},
 	{seed: 9135, minutes: 0.45, cause: 'a sound first part was convicted while all engines were down, in place of the part at fault, whose requests had been cancelled'},
-	{seed: 9306, minutes: 0.45},
-	{seed: 9336, minutes: 0.45},
+	{seed: 9306, minutes: 0.45, cause: 'an instance that had just started was told of crashes before the survivals that exonerate a sound first part'},
+	{seed: 9336, minutes: 0.45, cause: 'as 9306'},
 ] as const;
