Require more crashes for a verdict while there is nothing to compare with

Cause: no request had survived since the start, so the chance that a request crashes was taken from the few that are assumed, a tenth. It was close to one.

Change: with fewer than ten comparable requests six crashes convict a part, not four. Together with the three requests that may follow the bound this stays within the promise. With usual traffic hundreds of requests are comparable.

Tests: five crashes without comparable requests convict nothing (they did); the other tests of verdicts state now that 20 comparable requests survived.

--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -25,6 +25,10 @@
 	minimumCrashes: 10, chanceLimit: 1 / 2000, prominentShare: 0.4, prominentChanceLimit: 1 / 20, maximumOfProminent: Infinity,
 };
 
+/** Comparable requests below which the comparison says little, as right after a start of all instances, and the fewest crashes that convict a part then. */
+const minimumComparable = 10;
+const minimumCrashesUncompared = 6;
+
 /** Crashed and surviving requests that are assumed while few have been counted. */
 const assumedCrashed = 0.5;
 const assumedRequests = 5;
@@ -102,7 +106,8 @@
 	const isProminent = counted.length >= limits.prominentShare * unexplained.filter(({at}) => at >= from).length;
 	const chance = isProminent ? limits.prominentChanceLimit / (isUnproven ? unprovenCount : 1) : limits.chanceLimit;
 	const required = Math.ceil(Math.log(chance) / Math.log(allCrashed / all));
-	return Math.max(limits.minimumCrashes, isProminent ? Math.min(required, limits.maximumOfProminent) : required);
+	const minimum = all - assumedRequests < minimumComparable ? Math.max(limits.minimumCrashes, minimumCrashesUncompared) : limits.minimumCrashes;
+	return Math.max(minimum, isProminent ? Math.min(required, limits.maximumOfProminent) : required);
 }
 
 function isCrashUnder({suspects}: EndpointCrash, parts: readonly string[]): boolean {
--- a/test/gateway/forwarding/forward-task.test.ts
+++ b/test/gateway/forwarding/forward-task.test.ts
@@ -221,12 +221,15 @@
 	t.is(executedRequests(endpoints).length, 6);
 });
 
+/** Requests of another instance with which crashes are compared. */
+const manySurvived = Object.fromEntries([['10.0.0.9', {survived: 20, crashed: 0}]]);
+
 /** Tells an instance of crashes that convict a part. */
 async function reportCrashes({settings}: Gateway, part: string): Promise<void> {
 	const socket = createSocket('udp4');
 	const report = encodeCrashReport({
 		crashes: [0, 1000, 2000, 3000].map(ageMs => ({
-			endpointId: `crashed-${ageMs}`, startedAt: 1, ageMs, suspects: [[part]], comparisons: {},
+			endpointId: `crashed-${ageMs}`, startedAt: 1, ageMs, suspects: [[part]], comparisons: manySurvived,
 		})),
 		survivals: [],
 		convictions: [],
--- a/test/gateway/quarantine/crash-report-group.test.ts
+++ b/test/gateway/quarantine/crash-report-group.test.ts
@@ -19,12 +19,15 @@
 	return () => source.integer(0, 999_999) / 1_000_000;
 }
 
+/** Requests of another instance with which crashes are compared. */
+const manySurvived = Object.fromEntries([['10.0.0.9', {survived: 20, crashed: 0}]]);
+
 /** Lets instances of different zones see one crash each, a quarter of a second apart. */
 function crashEndpoints(group: MembershipGroup, from = 0): void {
 	const members = [...group.members.values()];
 	for (let index = 0; index < crashCount; index++) {
 		members[(index * 11) % members.length]!.quarantine.recordCrash({
-			endpointId: `engine-${from + index}`, startedAt: 1, at: group.now, suspects: [[`first-${index}`, 'bad']], comparisons: {},
+			endpointId: `engine-${from + index}`, startedAt: 1, at: group.now, suspects: [[`first-${index}`, 'bad']], comparisons: manySurvived,
 		});
 		group.advance(250);
 	}
--- a/test/gateway/quarantine/crash-simulation.test.ts
+++ b/test/gateway/quarantine/crash-simulation.test.ts
@@ -74,6 +74,19 @@
 			crashingFrom: 6000,
 		}),
 	},
+	'few engines, right after a start of all instances': {
+		create: random => ({
+			...usual(random),
+			instanceCount: 4,
+			engineCount: 4,
+			slotsPerEngine: 8,
+			downMs: 2500,
+			soundPerSecond: 20,
+			soundDurationsMs: [400, 600],
+			crashing: [{part: 'bad', perSecond: 3, nextParts: () => [random.pick(firstParts)!, 'bad']}],
+			crashingFrom: 0,
+		}),
+	},
 	'two parts beside many other crashes': {create: disturbed, seeds: [1322, 1511]},
 	'outages of all engines and many other crashes, without such a part': {
 		create: random => ({
--- a/test/gateway/quarantine/culprits.test.ts
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -4,10 +4,13 @@
 
 let nextNumber = 0;
 
+/** Comparable requests of which hardly any crash. */
+const manySurvived = {instance: {survived: 20, crashed: 0}};
+
 function createCrash(at: number, ...suspects: readonly Suspect[]): EndpointCrash {
 	nextNumber++;
 	return {
-		endpointId: `engine-${nextNumber}`, startedAt: 1, at, suspects, comparisons: {},
+		endpointId: `engine-${nextNumber}`, startedAt: 1, at, suspects, comparisons: manySurvived,
 	};
 }
 
@@ -101,3 +104,10 @@
 	t.deepEqual(findParts(createCrashes(4)), []);
 	t.deepEqual(findParts(createCrashes(8)), ['part']);
 });
+
+// Guards against a common part that is convicted right after a start of all instances, when nothing has survived yet.
+test('a part needs more crashes while there are no requests to compare its requests with', t => {
+	const withoutComparison = (count: number) => createBadCrashes(count).map(crash => ({...crash, comparisons: {}}));
+	t.deepEqual(findParts(withoutComparison(5), {'first-9': 10_000}), []);
+	t.deepEqual(findParts(withoutComparison(6), {'first-9': 10_000}), ['bad']);
+});
--- a/test/gateway/quarantine/prompt-quarantine.test.ts
+++ b/test/gateway/quarantine/prompt-quarantine.test.ts
@@ -18,9 +18,12 @@
 	return {quarantine, changes};
 }
 
+/** Requests of another instance with which crashes are compared. */
+const manySurvived = Object.fromEntries([['10.0.0.9', {survived: 20, crashed: 0}]]);
+
 function createCrash(at: number, parts: readonly string[] = [`first-${at}`, 'bad']): EndpointCrash {
 	return {
-		endpointId: `engine-${at}`, startedAt: 1, at, suspects: [parts], comparisons: {},
+		endpointId: `engine-${at}`, startedAt: 1, at, suspects: [parts], comparisons: manySurvived,
 	};
 }
 
