--- a/test/gateway/quarantine/crash-simulation.test.ts
+++ b/test/gateway/quarantine/crash-simulation.test.ts
@@ -24,6 +24,17 @@
 	durationMs: 25_000,
 });
 
+/** So few engines that all of them are down at times. */
+const fewEngines: Scenario = random => ({
+	...usual(random),
+	instanceCount: 4,
+	engineCount: 4,
+	slotsPerEngine: 8,
+	downMs: 2500,
+	soundPerSecond: 20,
+	soundDurationsMs: [400, 600],
+});
+
 /** Few slots and short requests, so that many parts are new when the crashes begin, and two parts beside other crashes. */
 const disturbed: Scenario = random => ({
 	...usual(random),
@@ -63,26 +74,14 @@
 	},
 	'all of few engines down at times': {
 		create: random => ({
-			...usual(random),
-			instanceCount: 4,
-			engineCount: 4,
-			slotsPerEngine: 8,
-			downMs: 2500,
-			soundPerSecond: 20,
-			soundDurationsMs: [400, 600],
+			...fewEngines(random),
 			otherCrashesPerSecond: 0.3,
 			crashingFrom: 6000,
 		}),
 	},
 	'few engines, right after a start of all instances': {
 		create: random => ({
-			...usual(random),
-			instanceCount: 4,
-			engineCount: 4,
-			slotsPerEngine: 8,
-			downMs: 2500,
-			soundPerSecond: 20,
-			soundDurationsMs: [400, 600],
+			...fewEngines(random),
 			crashing: [{part: 'bad', perSecond: 3, nextParts: () => [random.pick(firstParts)!, 'bad']}],
 			crashingFrom: 0,
 		}),
