Count requests that go on above a lowered limit against it at all entries

What was seen: the integration test of an engine that restarts cold saw one dispatch above the cold limit 320 ms after the restart (listed in KNOWN-RED.txt). Its trace from the logs: an entry had written a request on a unit above the cold limit 32 ms before it learned that the engine is cold, and the owners of the two units within the limit each dispatched one more. Cause: each entry compared the limit with its own units in use only. Requests that went on above a lowered limit were known to nobody else. Change: an entry tells its peers how many of its requests are in flight above the limit of an endpoint (`units-above-limit`, when the number changes, and in each heartbeat), and all entries leave that many of the last units within the limit unused. All of them leave the same units, so the rest stays usable. An entry that is not heard for 2 s doesn't count, nor does a request whose connection broke. Ruled out: cancelling these requests, because their callers would wait again; a pause of the owners after a change, because responses have no bound below the request timeout.

--- a/src/entry/limits/endpoint-units.ts
+++ b/src/entry/limits/endpoint-units.ts
@@ -27,6 +27,8 @@
 	removedAt: Milliseconds | undefined;
 	/** When the quarantine of a new incarnation ends early because the endpoint was observed idle; otherwise `undefined`. */
 	idleQuarantineEndsAt: Milliseconds | undefined;
+	/** Units above the limit on which requests of other slots are in flight. */
+	unitsAboveLimitOfPeers = 0;
 	/** The longest request timeout that the endpoint has had: requests from before a configuration change may still run that long. */
 	maximumRequestTimeoutMs: Milliseconds;
 	#configuredLimit: EndpointLimit;
--- a/src/entry/limits/reservations.ts
+++ b/src/entry/limits/reservations.ts
@@ -48,6 +48,17 @@
 		return [...this.#reservations.values()].filter(held => matches(held));
 	}
 
+	/** The number of units from a given one on whose requests have started and not ended. Requests whose end was not observed don't count. */
+	inFlightUnitsFrom(units: EndpointUnits, firstUnit: number): number {
+		let inFlight = 0;
+		for (const [unit, reservationId] of units.reservedUnits) {
+			const {startedAt, assumedEndedAt} = this.#reservations.get(reservationId)!;
+			inFlight += unit >= firstUnit && startedAt !== undefined && assumedEndedAt === undefined ? 1 : 0;
+		}
+
+		return inFlight;
+	}
+
 	/** The number of units of one endpoint on which requests have started. */
 	startedUnits(units: EndpointUnits): number {
 		let started = 0;
--- a/src/entry/limits/unit-ledger.ts
+++ b/src/entry/limits/unit-ledger.ts
@@ -119,6 +119,20 @@
 		this.#ownership.unitsOf(endpoint)?.setPhaseLimit(limit);
 	}
 
+	/** Sets the number of units above the limit on which requests of other slots are in flight, as these slots report it. */
+	setUnitsAboveLimitOfPeers(endpoint: string, count: number): void {
+		const units = this.#ownership.unitsOf(endpoint);
+		if (units !== undefined) {
+			units.unitsAboveLimitOfPeers = count;
+		}
+	}
+
+	/** The number of units above the limit on which requests of this slot are in flight since before the limit was lowered. */
+	unitsAboveLimit(endpoint: string): number {
+		const units = this.#ownership.unitsOf(endpoint);
+		return units === undefined ? 0 : this.#reservations.inFlightUnitsFrom(units, units.limit);
+	}
+
 	/** The number of own and borrowed units that can be reserved now. */
 	availableUnits(endpoint: string): number {
 		const units = this.#ownership.unitsOf(endpoint);
@@ -126,8 +140,8 @@
 			return 0;
 		}
 
-		const free = this.#freeBorrowedUnits(units).length + this.#ownership.freeOwnUnits(units).length;
-		return Math.max(0, Math.min(free, units.limit - units.unitsInUse));
+		const free = this.#freeBorrowedUnits(units).length + this.#freeOwnUnits(units).length;
+		return Math.max(0, Math.min(free, this.#limitBesidePeers(units) - units.unitsInUse));
 	}
 
 	/** The units needed for a number of prompt and output tokens, or `undefined` if they exceed the endpoint's full limit or the endpoint is not configured. */
@@ -149,7 +163,7 @@
 
 		const units = this.#ownership.unitsOf(endpoint)!;
 		const borrowed = this.#freeBorrowedUnits(units).slice(0, count);
-		const own = this.#ownership.freeOwnUnits(units).slice(0, count - borrowed.length);
+		const own = this.#freeOwnUnits(units).slice(0, count - borrowed.length);
 		const reservation: Reservation = {
 			reservationId: this.#nextId(), requestId, endpoint, units: [...borrowed.map(({unit}) => unit), ...own],
 		};
@@ -166,7 +180,7 @@
 
 		const units = this.#ownership.unitsOf(held.reservation.endpoint);
 		return units !== undefined
-			&& this.#reservations.startedUnits(units) + units.lentUnits.size + held.reservation.units.length <= units.limit
+			&& this.#reservations.startedUnits(units) + units.lentUnits.size + held.reservation.units.length <= this.#limitBesidePeers(units)
 			&& held.reservation.units.every(unit => this.#isUnitUsable(units, unit, held));
 	}
 
@@ -225,8 +239,8 @@
 			return undefined;
 		}
 
-		const free = this.#ownership.freeOwnUnits(units);
-		if (Math.min(free.length, units.limit - units.unitsInUse) < request.units) {
+		const free = this.#freeOwnUnits(units);
+		if (Math.min(free.length, this.#limitBesidePeers(units) - units.unitsInUse) < request.units) {
 			return undefined;
 		}
 
@@ -351,12 +365,27 @@
 		return `${this.#idPrefix}${this.#lastIdNumber}`;
 	}
 
+	#limitBesidePeers(units: EndpointUnits): number {
+		return units.limit - units.unitsAboveLimitOfPeers;
+	}
+
+	/** The first unit that may not be used. Requests above the limit take the place of the last units within it, so that all slots leave the same ones free. */
+	#usableLimit(units: EndpointUnits): number {
+		return this.#limitBesidePeers(units) - this.#reservations.inFlightUnitsFrom(units, units.limit);
+	}
+
+	#freeOwnUnits(units: EndpointUnits): number[] {
+		const usableLimit = this.#usableLimit(units);
+		return this.#ownership.freeOwnUnits(units).filter(unit => unit < usableLimit);
+	}
+
 	#freeBorrowedUnits(units: EndpointUnits): Array<{unit: number; loan: BorrowedLoan}> {
 		const now = this.#clock.now();
+		const usableLimit = this.#usableLimit(units);
 		const free: Array<{unit: number; loan: BorrowedLoan}> = [];
 		for (const [unit, loanId] of units.borrowedUnits) {
 			const loan = this.#borrowedLoans.get(loanId)!;
-			if (unit < units.limit && now < loan.expiresAt && !units.reservedUnits.has(unit)) {
+			if (unit < usableLimit && now < loan.expiresAt && !units.reservedUnits.has(unit)) {
 				free.push({unit, loan});
 			}
 		}
@@ -379,7 +408,7 @@
 	}
 
 	#isUnitUsable(units: EndpointUnits, unit: number, {reservation, loanIdByUnit}: HeldReservation): boolean {
-		if (unit >= units.limit || units.reservedUnits.get(unit) !== reservation.reservationId) {
+		if (unit >= this.#usableLimit(units) || units.reservedUnits.get(unit) !== reservation.reservationId) {
 			return false;
 		}
 
--- a/src/entry/membership/messages.ts
+++ b/src/entry/membership/messages.ts
@@ -48,6 +48,8 @@
 		/** Number of units that the sender could lend now, by endpoint. */
 		freeUnits: z.record(z.string(), count),
 		phases: z.array(z.object(endpointPhaseFields)).max(65_536),
+		/** Number of units above the limit on which requests of the sender are in flight, by endpoint. */
+		unitsAboveLimit: z.record(z.string(), count).optional(),
 	}),
 	'heartbeat-reply': z.object({
 		kind: z.literal('heartbeat-reply'),
@@ -92,6 +94,8 @@
 	'endpoint-phase': z.object({
 		kind: z.literal('endpoint-phase'), ...endpointPhaseFields, reason: z.string().max(256),
 	}),
+	/** Requests of the sender that were in flight when the limit of the endpoint was lowered; 0 units when they have ended. */
+	'units-above-limit': z.object({kind: z.literal('units-above-limit'), endpoint: identifier, units: count}),
 	/** Tells the phase coordinator of the endpoint about a response that another entry received. */
 	'endpoint-answer': z.object({
 		kind: z.literal('endpoint-answer'),
--- a/src/entry/membership/peer-task.ts
+++ b/src/entry/membership/peer-task.ts
@@ -132,6 +132,7 @@
 			'displace-reply': forward,
 			'endpoint-phase': forward,
 			'endpoint-answer': forward,
+			'units-above-limit': forward,
 		};
 	}
 
--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -93,6 +93,7 @@
 		const {ledger, phases, peers, metrics} = this.context;
 		sendAll(peers, ledger.release(active.reservation.reservationId, {mayStillRun: mayStillRun(active, result)}));
 		this.phaseReports.announceChanges(phases.observeSymptom(active.endpoint.name, result.symptom));
+		this.phaseReports.announceUnitsAboveLimit(active.endpoint.name);
 		metrics.countDispatch(active.endpoint.name, result.kind);
 		this.#resultHandlers[result.kind](active, result as never);
 	}
--- a/src/entry/scheduler/peer-reports.ts
+++ b/src/entry/scheduler/peer-reports.ts
@@ -8,6 +8,8 @@
 type PeerReport = {
 	readonly receivedAt: Milliseconds;
 	readonly heartbeat: HeartbeatMessage;
+	/** By endpoint. */
+	readonly unitsAboveLimit: Map<string, number>;
 };
 
 /** The last heartbeat of each peer. */
@@ -21,7 +23,24 @@
 	private constructor(private readonly clock: Clock) {}
 
 	record(slot: string, heartbeat: HeartbeatMessage): void {
-		this.#reports.set(slot, {receivedAt: this.clock.now(), heartbeat});
+		this.#reports.set(slot, {
+			receivedAt: this.clock.now(), heartbeat, unitsAboveLimit: new Map(Object.entries(heartbeat.unitsAboveLimit ?? {})),
+		});
+	}
+
+	/** Records what a peer reports between two heartbeats. */
+	recordUnitsAboveLimit(slot: string, endpoint: string, units: number): void {
+		this.#reports.get(slot)?.unitsAboveLimit.set(endpoint, units);
+	}
+
+	/** Units above the limit of the endpoint on which requests of peers are in flight. */
+	unitsAboveLimit(endpoint: string): number {
+		let units = 0;
+		for (const slot of this.#reports.keys()) {
+			units += this.#recentReport(slot)?.unitsAboveLimit.get(endpoint) ?? 0;
+		}
+
+		return units;
 	}
 
 	remove(slot: string): void {
@@ -82,7 +101,11 @@
 	}
 
 	#recentHeartbeat(slot: string): HeartbeatMessage | undefined {
+		return this.#recentReport(slot)?.heartbeat;
+	}
+
+	#recentReport(slot: string): PeerReport | undefined {
 		const report = this.#reports.get(slot);
-		return report && this.clock.now() - report.receivedAt <= maximumReportAgeMs ? report.heartbeat : undefined;
+		return report && this.clock.now() - report.receivedAt <= maximumReportAgeMs ? report : undefined;
 	}
 }
--- a/src/entry/scheduler/phase-reports.ts
+++ b/src/entry/scheduler/phase-reports.ts
@@ -13,6 +13,9 @@
 		return new PhaseReports(context);
 	}
 
+	/** Units above the limit that this entry last told its peers of, by endpoint. */
+	readonly #announcedUnits = new Map<string, number>();
+
 	private constructor(private readonly context: SchedulerContext) {}
 
 	/** Observes a response, and reports it to the phase coordinator while the endpoint is not warm. */
@@ -62,11 +65,28 @@
 		}
 	}
 
-	/** Sets the unit limits of the current phases. */
+	receiveUnitsAboveLimit(peer: string, {endpoint, units}: MessageOf<'units-above-limit'>): void {
+		this.context.peerReports.recordUnitsAboveLimit(peer, endpoint, units);
+		this.applyLimits();
+	}
+
+	/** Sets the unit limits of the current phases, and what the requests of peers above them take of them. */
 	applyLimits(): void {
-		const {ledger, phases} = this.context;
+		const {ledger, peerReports, phases} = this.context;
 		for (const {endpoint, limit} of phases.toMessages()) {
 			ledger.setPhaseLimit(endpoint, limit);
+			ledger.setUnitsAboveLimitOfPeers(endpoint, peerReports.unitsAboveLimit(endpoint));
+			this.announceUnitsAboveLimit(endpoint);
+		}
+	}
+
+	/** Tells the peers how many requests of this entry are in flight above the limit of an endpoint, when the number has changed. */
+	announceUnitsAboveLimit(endpoint: string): void {
+		const {ledger, peers} = this.context;
+		const units = ledger.unitsAboveLimit(endpoint);
+		if (units !== (this.#announcedUnits.get(endpoint) ?? 0)) {
+			this.#announcedUnits.set(endpoint, units);
+			peers.broadcast({kind: 'units-above-limit', endpoint, units});
 		}
 	}
 
--- a/src/entry/scheduler/scheduler-task.ts
+++ b/src/entry/scheduler/scheduler-task.ts
@@ -77,6 +77,10 @@
 			this.#phaseReports.receivePhase(peer, message);
 			this.#scheduleAssignmentAt(message.endpoint);
 		},
+		'units-above-limit': (peer, message) => {
+			this.#phaseReports.receiveUnitsAboveLimit(peer, message);
+			this.#scheduleAssignmentAt(message.endpoint);
+		},
 		'endpoint-answer': (_peer, message) => {
 			this.#phaseReports.receivePeerResponse(message);
 			this.#scheduleAssignmentAt(message.endpoint);
@@ -129,19 +133,26 @@
 	}
 
 	/** The scheduler's part of the next heartbeat. */
-	heartbeatContent(): Pick<HeartbeatContent, 'waitingByTier' | 'freeUnits' | 'phases'> {
+	heartbeatContent(): Pick<HeartbeatContent, 'waitingByTier' | 'freeUnits' | 'phases' | 'unitsAboveLimit'> {
 		const {directory, ledger, phases, queue} = this.#context;
 		const waitingByTier = Object.fromEntries(directory.services().map(service => [service, queue.waitingByTier(service)]));
 		const freeUnits: Record<string, number> = {};
+		const unitsAboveLimit: Record<string, number> = {};
 		for (const {endpoint, available} of ledger.snapshot()) {
 			if (available > 0) {
 				freeUnits[endpoint] = available;
 			}
+
+			const aboveLimit = ledger.unitsAboveLimit(endpoint);
+			if (aboveLimit > 0) {
+				unitsAboveLimit[endpoint] = aboveLimit;
+			}
 		}
 
 		return {
 			waitingByTier,
 			freeUnits,
+			unitsAboveLimit,
 			phases: phases.toMessages().map(({endpoint, epoch, phase, limit}) => ({
 				endpoint, epoch, phase, limit,
 			})),
--- a/test/entry/membership/messages.test.ts
+++ b/test/entry/membership/messages.test.ts
@@ -61,6 +61,7 @@
 	{
 		kind: 'endpoint-answer', endpoint: 'engine-1', epoch: 4, firstTokenMilliseconds: 120.5,
 	},
+	{kind: 'units-above-limit', endpoint: 'engine-1', units: 2},
 ];
 
 // Guards against a field that the schema drops or the encoding changes.
