Count results of probes that arrived while the instance was busy

What was seen: `crashing-parts` beside twelve busy processes and two further copies of itself (load 15 to 21 on 8 cores) with all its tests at once in one thread: 13 of 18 tests failed, with up to 147 requests with the crashing part at engines later than 3 s after the fifth crash. Cause of one part of it: an instance takes an endpoint to have crashed when a probe is refused within 300 ms. After a longer delay of its event loop the timer ran before the result was read, so all three probes were unknown and the crash counted for nothing. Change: when the time is over, results that have arrived are read before the probe ends. Whether the failures above go away with it is measured separately.

--- a/src/shared/probe-connection.ts
+++ b/src/shared/probe-connection.ts
@@ -12,7 +12,7 @@
 
 export type ConnectResult = (typeof connectResults)[keyof typeof connectResults];
 
-/** Opens a connection without sending anything and closes it at once. */
+/** Opens a connection without sending anything and closes it at once. A result that has arrived within the timeout counts, also when this process was too busy to read it. */
 export async function probeConnection(address: string, timeoutMs: Milliseconds): Promise<ConnectResult> {
 	const {host, port} = splitAddress(address);
 	const socket = connect({host, port});
@@ -24,7 +24,10 @@
 		};
 
 		const timer = setTimeout(() => {
-			end(connectResults.unknown);
+			// After a delay of this process, timers run before the results that have arrived meanwhile.
+			setImmediate(() => {
+				end(connectResults.unknown);
+			});
 		}, timeoutMs);
 		socket.on('connect', () => {
 			end(connectResults.opened);
