Use connections to endpoints that were opened while the process was busy

Cause: the connector gives an attempt up after its timeout. After a longer delay of the event loop the timer ran before the process read that the connection is open, so a busy instance took an endpoint that had accepted it for unreachable, paused it and took it to be cold. Change: when the time is over, the attempt ends only if the connection is still not open after the pending events were read.

--- a/src/shared/connector.ts
+++ b/src/shared/connector.ts
@@ -15,7 +15,12 @@
 	return ({hostname, port}, callback) => {
 		const socket = createSocket();
 		const timer = setTimeout(() => {
-			socket.destroy(new Error(`no connection within ${timeoutMs} ms`));
+			// After a delay of this process, timers run before it reads that the connection has been opened.
+			setImmediate(() => {
+				if (socket.connecting) {
+					socket.destroy(new Error(`no connection within ${timeoutMs} ms`));
+				}
+			});
 		}, timeoutMs);
 		const onError = (error: Error) => {
 			clearTimeout(timer);
--- a/test/shared/probe-connection.test.ts
+++ b/test/shared/probe-connection.test.ts
@@ -2,6 +2,7 @@
 import {createServer, type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {connectResults, probeConnection} from '../../src/shared/probe-connection.js';
+import {blockThread} from '../fixtures/block-thread.js';
 
 /** Listens on a free port. */
 async function listen(t: ExecutionContext) {
@@ -12,11 +13,6 @@
 	return {server, address: `127.0.0.1:${(server.address() as AddressInfo).port}`};
 }
 
-function blockThread(durationMs: number): void {
-	const unnotified = new Int32Array(new SharedArrayBuffer(4));
-	Atomics.wait(unnotified, 0, 0, durationMs);
-}
-
 test('a probe tells an address where a process listens from one where none does', async t => {
 	const {server, address} = await listen(t);
 	t.is(await probeConnection(address, 5000), connectResults.opened);
