Run the tests of crashing parts one after the other

Cause: each test has five instances, 18 engines and the callers of one site in the thread of the file; six of them at once take more than one core, so beside load their callers, timers and engines run seconds late.

--- a/test/gateway/crashing-parts.test.ts
+++ b/test/gateway/crashing-parts.test.ts
@@ -108,8 +108,10 @@
 	t.deepEqual(calls.filter(({body}) => body?.includes('withheld')), []);
 }
 
+// The tests run one after the other: five instances, their engines and the load of one site take most of this thread.
+
 // Guards against engines that crash one after the other, because each instance sends the next request with the same part to the next engine.
-test('requests with a part of their prompt that crashes engines are withheld after the fifth crash, and no others', async t => {
+test.serial('requests with a part of their prompt that crashes engines are withheld after the fifth crash, and no others', async t => {
 	const site = await startSite(t, new Set(['bad']));
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
@@ -135,7 +137,7 @@
 });
 
 // Guards against a verdict on parts that were in crashes by chance, and against one that is missed because other faults look the same.
-test('two parts that crash engines, one of them a first part, are found beside other crashes and lost responses, and nothing sound is withheld', async t => {
+test.serial('two parts that crash engines, one of them a first part, are found beside other crashes and lost responses, and nothing sound is withheld', async t => {
 	const site = await startSite(t, new Set(['bad', 'bad-first']));
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
@@ -159,7 +161,7 @@
 	assertNothingSoundWithheld(t, soundCalls);
 });
 
-test('crashes and lost responses alone withhold nothing, also when all engines crash at once again and again', async t => {
+test.serial('crashes and lost responses alone withhold nothing, also when all engines crash at once again and again', async t => {
 	const site = await startSite(t, new Set());
 	const {engines, gateways} = site;
 	const abortController = new AbortController();
@@ -182,7 +184,7 @@
 });
 
 // Guards against an instance that crashes further engines after its start, because it has not seen the crashes.
-test('an instance that starts later learns of the part from the others', async t => {
+test.serial('an instance that starts later learns of the part from the others', async t => {
 	const site = await startSite(t, new Set(['bad']), 3);
 	const {engines, gateways, random} = site;
 	const abortController = new AbortController();
@@ -209,7 +211,7 @@
 });
 
 // Guards against a response that counts as proof of a sound prompt, although its engine crashes right after it.
-test('a part is withheld whose requests get whole responses before their engines crash, also at engines without other requests', async t => {
+test.serial('a part is withheld whose requests get whole responses before their engines crash, also at engines without other requests', async t => {
 	const site = await startSite(t, new Set(['bad']), 3, 'after-response');
 	const {gateways, random} = site;
 	const abortController = new AbortController();
@@ -224,7 +226,7 @@
 });
 
 // Guards against evidence that is lost with the instances that saw it, and against a verdict on sound parts while engines leave and whole zones are out.
-test('a part is withheld, and nothing sound, while instances are killed and replaced, a zone is evacuated and engines leave', async t => {
+test.serial('a part is withheld, and nothing sound, while instances are killed and replaced, a zone is evacuated and engines leave', async t => {
 	const site = await startSite(t, new Set(['bad']));
 	const {gateways, random} = site;
 	const abortController = new AbortController();
