Don't take a warm engine for cold because a full batch decodes a document slowly

Cause: of a response that arrives as a whole, the time to the first token is estimated by taking the time between its tokens, as known from streams, off the whole. How full the batch was is not known, and a full one halves the speed, so 400 tokens at half the speed looked like a first token that is seconds late, and the engine lost most of its places (reason slow-first-token). Change: such an estimate comes with its uncertainty, the known time between the tokens once more, and only what exceeds it is evidence of a cold start. Good responses are judged as before, so a limit is not raised earlier. The phase coordinator gets the uncertainty with the response.

--- a/src/entry/limits/endpoint-phases.ts
+++ b/src/entry/limits/endpoint-phases.ts
@@ -76,6 +76,13 @@
 	reportsCold: boolean;
 };
 
+export type ResponseTimeOptions = {
+	/** When the request was written; if a later load report does not say `cold`, the endpoint was only slow. Default: unknown. */
+	readonly writtenAt?: Milliseconds;
+	/** How much of the time to first token may be time between tokens, because the response arrived as a whole. Default: 0. */
+	readonly uncertaintyMs?: Milliseconds;
+};
+
 export type EndpointPhasesOptions = {
 	readonly slot: string;
 	readonly clock: Clock;
@@ -127,9 +134,8 @@
 	Updates the phase from a response's time to first token.
 
 	@param firstTokenMs time to first token, adjusted for the prompt length, so that requests at the same endpoint are comparable
-	@param writtenAt when the request was written; if a later load report does not say `cold`, the endpoint was only slow. Default: unknown.
 	*/
-	observeResponse(endpoint: string, firstTokenMs: Milliseconds, writtenAt: Milliseconds = Number.POSITIVE_INFINITY): EndpointPhaseMessage[] {
+	observeResponse(endpoint: string, firstTokenMs: Milliseconds, {writtenAt = Number.POSITIVE_INFINITY, uncertaintyMs = 0}: ResponseTimeOptions = {}): EndpointPhaseMessage[] {
 		const state = this.#states.get(endpoint);
 		if (state === undefined) {
 			return [];
@@ -139,7 +145,7 @@
 		// Slow samples are capped but not ignored: otherwise every response after a first one from the cache would look cold forever.
 		const cappedMs = Math.min(firstTokenMs, coldDetectionFactor * baselineMs);
 		state.baselineMsByPhase.set(state.phase, baselineMs + (smoothingFactor * (cappedMs - baselineMs)));
-		if (firstTokenMs > coldDetectionFactor * Math.max(baselineMs, minimumBaselineMs)) {
+		if (firstTokenMs - uncertaintyMs > coldDetectionFactor * Math.max(baselineMs, minimumBaselineMs)) {
 			const isReportedNotCold = !state.reportsCold && state.reportTakenAt >= writtenAt;
 			state.goodResponses = 0;
 			return isReportedNotCold ? [] : this.#markCold(state, 'slow-first-token');
--- a/src/entry/membership/messages.ts
+++ b/src/entry/membership/messages.ts
@@ -104,6 +104,8 @@
 		epoch: count,
 		/** Adjusted for the length of the prompt, in milliseconds. */
 		firstTokenMilliseconds: z.number().nonnegative(),
+		/** How much of this may be time between tokens, in milliseconds. */
+		uncertaintyMilliseconds: z.number().nonnegative().optional(),
 	}),
 } as const;
 
--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -12,6 +12,9 @@
 /** Failed connection attempts after which the request is refused. */
 const maximumConnectAttempts = 4;
 
+/** Share of the estimated time between tokens by which that of a whole response may be longer: how full the engine's batch was meanwhile is not known, and a full one halves the speed. */
+const decodeUncertainty = 1;
+
 type ActiveDispatch = {
 	readonly pending: PendingRequest;
 	readonly endpoint: DirectoryEndpoint;
@@ -241,6 +244,7 @@
 		const firstByteAt = active.firstByteAt ?? now;
 		const firstTokenMs = firstByteAt - active.writtenAt;
 		let tokenIndependentMs = firstTokenMs;
+		let uncertaintyMs = 0;
 		if (submission.kind === requestKinds.engine) {
 			const {millisecondsPerPromptToken, millisecondsPerOutputToken} = speedEstimator.speed(name);
 			const uncachedPromptTokens = promptTokensCached === undefined
@@ -252,11 +256,13 @@
 					uncachedPromptTokens, firstTokenMs, outputTokens: active.outputTokens, decodeMs: now - firstByteAt,
 				});
 			} else {
-				tokenIndependentMs -= active.outputTokens * millisecondsPerOutputToken;
+				const decodeMs = active.outputTokens * millisecondsPerOutputToken;
+				tokenIndependentMs -= decodeMs;
+				uncertaintyMs = decodeUncertainty * decodeMs;
 			}
 		}
 
-		this.phaseReports.observeResponse(name, Math.max(tokenIndependentMs, 1), active.writtenAt);
+		this.phaseReports.observeResponse(name, Math.max(tokenIndependentMs, 1), {writtenAt: active.writtenAt, uncertaintyMs});
 		this.#observeLatencies(active, firstByteAt, now);
 	}
 
--- a/src/entry/scheduler/phase-reports.ts
+++ b/src/entry/scheduler/phase-reports.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
+import type {ResponseTimeOptions} from '../limits/endpoint-phases.js';
 import type {EndpointPhaseMessage} from '../limits/types.js';
 import type {HeartbeatMessage, MessageOf} from '../membership/messages.js';
 import type {SchedulerContext} from './context.js';
@@ -19,23 +20,23 @@
 	private constructor(private readonly context: SchedulerContext) {}
 
 	/** Observes a response, and reports it to the phase coordinator while the endpoint is not warm. */
-	observeResponse(endpoint: string, firstTokenMs: Milliseconds, writtenAt: Milliseconds): void {
+	observeResponse(endpoint: string, firstTokenMs: Milliseconds, options: ResponseTimeOptions): void {
 		const {ledger, peerReports, peers, phases, slot} = this.context;
 		const coordinator = peerReports.phaseCoordinatorOf(ledger.owners(endpoint), slot);
 		if (coordinator !== undefined && coordinator !== slot && phases.phase(endpoint) !== 'warm') {
 			peers.send(coordinator, {
-				kind: 'endpoint-answer', endpoint, epoch: phases.epoch(endpoint), firstTokenMilliseconds: firstTokenMs,
+				kind: 'endpoint-answer', endpoint, epoch: phases.epoch(endpoint), firstTokenMilliseconds: firstTokenMs, uncertaintyMilliseconds: options.uncertaintyMs,
 			});
 		}
 
-		this.announceChanges(phases.observeResponse(endpoint, firstTokenMs, writtenAt));
+		this.announceChanges(phases.observeResponse(endpoint, firstTokenMs, options));
 	}
 
 	/** Observes a response that a peer received, unless the phase has changed since. */
-	receivePeerResponse(message: MessageOf<'endpoint-answer'>): void {
+	receivePeerResponse({endpoint, epoch, firstTokenMilliseconds, uncertaintyMilliseconds}: MessageOf<'endpoint-answer'>): void {
 		const {phases} = this.context;
-		if (phases.epoch(message.endpoint) === message.epoch) {
-			this.announceChanges(phases.observeResponse(message.endpoint, message.firstTokenMilliseconds));
+		if (phases.epoch(endpoint) === epoch) {
+			this.announceChanges(phases.observeResponse(endpoint, firstTokenMilliseconds, {uncertaintyMs: uncertaintyMilliseconds}));
 		}
 	}
 
