Don't take the delay of a paused entry for a late first token

Cause: an entry that was suspended or got no processor time reads the first token late and takes the engine for cold (reason slow-first-token, actor self); all entries then use a fraction of its places. The new test pauses one of three entries for 1.5 s while a first token arrives: cold before, warm after. When the entry runs meanwhile and the token is late by as much, the engine counts as cold, as before.

--- a/src/entry/scheduler/context.ts
+++ b/src/entry/scheduler/context.ts
@@ -20,6 +20,7 @@
 } from '../routing/index.js';
 import type {SchedulerMessage} from './messages.js';
 import type {PeerReports} from './peer-reports.js';
+import type {ProcessPauses} from './process-pauses.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {ServiceDirectory} from './service-directory.js';
 
@@ -75,6 +76,7 @@
 	readonly prefixIndex: PrefixIndex;
 	readonly backoff: EndpointBackoff;
 	readonly retryBudget: RetryBudget;
+	readonly pauses: ProcessPauses;
 	readonly directory: ServiceDirectory;
 	readonly metrics: Metrics;
 	readonly audit: AuditTrail;
--- a/src/entry/scheduler/create-context.ts
+++ b/src/entry/scheduler/create-context.ts
@@ -8,6 +8,7 @@
 } from '../routing/index.js';
 import type {SchedulerContext} from './context.js';
 import {PeerReports} from './peer-reports.js';
+import {ProcessPauses} from './process-pauses.js';
 import {RetryBudget} from './retry-budget.js';
 import {ServiceDirectory} from './service-directory.js';
 
@@ -42,6 +43,7 @@
 		prefixIndex,
 		backoff: EndpointBackoff.create(clock),
 		retryBudget: RetryBudget.create(),
+		pauses: ProcessPauses.create(),
 		directory: ServiceDirectory.create(region),
 		slowDetector: SlowDetector.create({clock}),
 		pending: new Map(),
--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -233,7 +233,7 @@
 
 	/** Updates the estimates of the endpoint's speed and phase. A response without a stream arrives only after its last token, so its time to the first token is estimated. */
 	#updateEstimates(active: ActiveDispatch, promptTokensCached: number | undefined): void {
-		const {clock, speedEstimator} = this.context;
+		const {clock, pauses, speedEstimator} = this.context;
 		const {submission} = active.pending;
 		const {name} = active.endpoint;
 		if (active.writtenAt === undefined) {
@@ -244,7 +244,8 @@
 		const firstByteAt = active.firstByteAt ?? now;
 		const firstTokenMs = firstByteAt - active.writtenAt;
 		let tokenIndependentMs = firstTokenMs;
-		let uncertaintyMs = 0;
+		// The entry reads a first token late when it was paused itself.
+		let uncertaintyMs = pauses.pausedMs(active.writtenAt, firstByteAt, now);
 		if (submission.kind === requestKinds.engine) {
 			const {millisecondsPerPromptToken, millisecondsPerOutputToken} = speedEstimator.speed(name);
 			const uncachedPromptTokens = promptTokensCached === undefined
@@ -258,7 +259,7 @@
 			} else {
 				const decodeMs = active.outputTokens * millisecondsPerOutputToken;
 				tokenIndependentMs -= decodeMs;
-				uncertaintyMs = decodeUncertainty * decodeMs;
+				uncertaintyMs += decodeUncertainty * decodeMs;
 			}
 		}
 
--- a/src/entry/scheduler/scheduler-task.ts
+++ b/src/entry/scheduler/scheduler-task.ts
@@ -286,6 +286,7 @@
 	}
 
 	#tick(): void {
+		this.#context.pauses.recordTick(this.#context.clock.now());
 		this.#updateMajorityVersion();
 		this.#updateLease();
 		this.#phaseReports.applyLimits();
--- a/test/entry/scheduler/cold-detection.test.ts
+++ b/test/entry/scheduler/cold-detection.test.ts
@@ -55,6 +55,35 @@
 	t.is(await phaseAfterDocument(group, 400, firstTokenMs + (400 * 2 * tokenMs)), endpointPhases.warm);
 });
 
+/** Plays a stream whose first token the entry reads after a delay, and returns the phase of the engine after it. */
+async function phaseAfterDelayedStream(group: SteadyGroup, isPaused: boolean): Promise<EndpointPhase> {
+	const entry = group.entry(group.slots[0]!);
+	group.submit(entry.slot);
+	await group.advance(100);
+	const [running] = group.running;
+	if (isPaused) {
+		entry.pause();
+	}
+
+	await group.advance(1500);
+	entry.resume();
+	running!.order.onFirstByte();
+	await group.advance(100 * tokenMs);
+	running!.order.onTokens(100);
+	group.end(running!);
+	await group.advance(100);
+	return entry.context.phases.phase(steadyEndpoint);
+}
+
+// Guards against an entry without processor time that takes its own delay for a cold engine, and takes most places of a warm one from all entries.
+test('a first token that a paused entry reads late does not make a warm engine cold', async t => {
+	t.is(await phaseAfterDelayedStream(await startWithKnownSpeed(), true), endpointPhases.warm);
+});
+
+test('a first token that is late while the entry runs makes the engine cold', async t => {
+	t.is(await phaseAfterDelayedStream(await startWithKnownSpeed(), false), endpointPhases.cold);
+});
+
 // Guards against a cold start that goes unnoticed while callers ask for documents only.
 test('a document that takes longer than a full batch explains makes the engine cold', async t => {
 	const group = await startWithKnownSpeed();
