End requests in time also in an instance whose checks all come late

Cause: after a check that comes more than 200 ms late the instance left the timeouts out, so that what arrived meanwhile is read first. An instance that never gets enough processor time left them out each time: requests past their deadline got no answer, and stalled streams never ended. Change: at most every second check is left out, and each one judges after the events that are pending were read. Short responses count as survivals only then, too: with a crash unread, a part that crashes endpoints could have been taken for sound.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -426,12 +426,13 @@
 
 	#runPeriodicChecks(): void {
 		const now = this.options.clock.now();
-		// After a suspension, data that arrived meanwhile is read before anything is judged by its absence.
-		for (const task of this.#lateTickDetector.tick(now) ? [] : this.#tasks) {
-			task.enforceTimeouts(now);
+		if (!this.#lateTickDetector.tick(now)) {
+			// Data that has arrived is read before anything is judged by its absence.
+			setImmediate(() => {
+				this.#judgeByAbsence(now);
+			});
 		}
 
-		this.#containment.confirmSurvivals();
 		this.#schedulers.dispatchWaiting();
 		this.#connectionPools.closeIdleConnections();
 
@@ -442,6 +443,15 @@
 		}
 	}
 
+	/** Ends what has had no response in time, and takes endpoints that have not crashed for sound. */
+	#judgeByAbsence(now: Milliseconds): void {
+		for (const task of this.#tasks) {
+			task.enforceTimeouts(now);
+		}
+
+		this.#containment.confirmSurvivals();
+	}
+
 	#confirmedAgeMs(): number | undefined {
 		const {confirmedAt} = this.#site;
 		return confirmedAt === undefined ? undefined : Math.round(this.options.freshnessClock.now() - confirmedAt);
--- a/src/gateway/late-tick-detector.ts
+++ b/src/gateway/late-tick-detector.ts
@@ -4,9 +4,9 @@
 const toleratedDelayMs: Milliseconds = 200;
 
 /**
-Tells whether a periodic check comes late because the process did not run for a while.
+Tells whether a periodic check has to be left out, because the process did not run for a while.
 
-What peers and endpoints sent meanwhile is still unread then, so nothing may be judged silent before the next check.
+What peers and endpoints sent meanwhile is still unread then, so nothing may be judged silent before the next check. That one counts also when it is late, so that a process with too little processor time still ends requests.
 */
 export class LateTickDetector {
 	static create(intervalMs: Milliseconds): LateTickDetector {
@@ -14,13 +14,15 @@
 	}
 
 	#lastTickAt: Milliseconds | undefined;
+	#wasLeftOut = false;
 
 	private constructor(private readonly intervalMs: Milliseconds) {}
 
-	/** Records a tick. Returns whether it is late. */
+	/** Records a tick. Returns whether its check has to be left out. */
 	tick(now: Milliseconds): boolean {
 		const isLate = this.#lastTickAt !== undefined && now - this.#lastTickAt > this.intervalMs + toleratedDelayMs;
 		this.#lastTickAt = now;
-		return isLate;
+		this.#wasLeftOut = isLate && !this.#wasLeftOut;
+		return this.#wasLeftOut;
 	}
 }
--- a/test/gateway/late-tick-detector.test.ts
+++ b/test/gateway/late-tick-detector.test.ts
@@ -6,3 +6,9 @@
 	const detector = LateTickDetector.create(50);
 	t.deepEqual([0, 50, 120, 3000, 3050, 3100].map(now => detector.tick(now)), [false, false, false, true, false, false]);
 });
+
+// Guards against an instance that judges nothing any more because it never gets enough processor time.
+test('of ticks that are all late, every second one counts', t => {
+	const detector = LateTickDetector.create(50);
+	t.deepEqual([0, 300, 600, 900, 1200, 1250].map(now => detector.tick(now)), [false, true, false, true, false, false]);
+});
