Trace the phase detection that fails beside load, and name the response that shows a cold start

What was seen: the integration test of documents listed in KNOWN-RED.txt: a warm engine was taken for cold with reason slow-first-token, only beside load. Change: `phase-changed` names the request, whether it was streamed and the time that counted, also when a peer told of it.

--- a/src/entry/membership/messages.ts
+++ b/src/entry/membership/messages.ts
@@ -106,6 +106,9 @@
 		firstTokenMilliseconds: z.number().nonnegative(),
 		/** How much of this may be time between tokens, in milliseconds. */
 		uncertaintyMilliseconds: z.number().nonnegative().optional(),
+		/** The request, for the receiver's log. */
+		requestId: identifier.optional(),
+		isStream: z.boolean().optional(),
 	}),
 } as const;
 
--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -263,7 +263,8 @@
 			}
 		}
 
-		this.phaseReports.observeResponse(name, Math.max(tokenIndependentMs, 1), {writtenAt: active.writtenAt, uncertaintyMs});
+		const evidence = {requestId: submission.requestId, isStream: submission.http.wantsStream};
+		this.phaseReports.observeResponse(name, Math.max(tokenIndependentMs, 1), {writtenAt: active.writtenAt, uncertaintyMs}, evidence);
 		this.#observeLatencies(active, firstByteAt, now);
 	}
 
--- a/src/entry/scheduler/phase-reports.ts
+++ b/src/entry/scheduler/phase-reports.ts
@@ -4,6 +4,9 @@
 import type {HeartbeatMessage, MessageOf} from '../membership/messages.js';
 import type {SchedulerContext} from './context.js';
 
+/** The response that changed a phase, for the log. */
+export type PhaseEvidence = Pick<MessageOf<'endpoint-answer'>, 'requestId' | 'isStream'>;
+
 /**
 Exchanges observations about endpoint phases with peers, and applies the phases to the unit limits.
 
@@ -20,23 +23,22 @@
 	private constructor(private readonly context: SchedulerContext) {}
 
 	/** Observes a response, and reports it to the phase coordinator while the endpoint is not warm. */
-	observeResponse(endpoint: string, firstTokenMs: Milliseconds, options: ResponseTimeOptions): void {
+	observeResponse(endpoint: string, firstTokenMs: Milliseconds, options: ResponseTimeOptions, evidence: PhaseEvidence): void {
 		const {ledger, peerReports, peers, phases, slot} = this.context;
 		const coordinator = peerReports.phaseCoordinatorOf(ledger.owners(endpoint), slot);
 		if (coordinator !== undefined && coordinator !== slot && phases.phase(endpoint) !== 'warm') {
 			peers.send(coordinator, {
-				kind: 'endpoint-answer', endpoint, epoch: phases.epoch(endpoint), firstTokenMilliseconds: firstTokenMs, uncertaintyMilliseconds: options.uncertaintyMs,
+				kind: 'endpoint-answer', endpoint, epoch: phases.epoch(endpoint), firstTokenMilliseconds: firstTokenMs, uncertaintyMilliseconds: options.uncertaintyMs, ...evidence,
 			});
 		}
 
-		this.announceChanges(phases.observeResponse(endpoint, firstTokenMs, options));
+		this.#applyResponse(endpoint, firstTokenMs, options, evidence);
 	}
 
 	/** Observes a response that a peer received, unless the phase has changed since. */
-	receivePeerResponse({endpoint, epoch, firstTokenMilliseconds, uncertaintyMilliseconds}: MessageOf<'endpoint-answer'>): void {
-		const {phases} = this.context;
-		if (phases.epoch(endpoint) === epoch) {
-			this.announceChanges(phases.observeResponse(endpoint, firstTokenMilliseconds, {uncertaintyMs: uncertaintyMilliseconds}));
+	receivePeerResponse({endpoint, epoch, firstTokenMilliseconds, uncertaintyMilliseconds, requestId, isStream}: MessageOf<'endpoint-answer'>): void {
+		if (this.context.phases.epoch(endpoint) === epoch) {
+			this.#applyResponse(endpoint, firstTokenMilliseconds, {uncertaintyMs: uncertaintyMilliseconds}, {requestId, isStream});
 		}
 	}
 
@@ -55,10 +57,10 @@
 	}
 
 	/** Broadcasts phase changes that this entry decided. */
-	announceChanges(messages: readonly EndpointPhaseMessage[]): void {
+	announceChanges(messages: readonly EndpointPhaseMessage[], evidence?: Readonly<Record<string, unknown>>): void {
 		for (const message of messages) {
 			this.context.peers.broadcast({...message});
-			this.#recordChange(message, 'previous', 'self');
+			this.#recordChange(message, 'previous', 'self', evidence);
 		}
 
 		if (messages.length > 0) {
@@ -91,6 +93,12 @@
 		}
 	}
 
+	#applyResponse(endpoint: string, firstTokenMs: Milliseconds, options: ResponseTimeOptions, evidence: PhaseEvidence): void {
+		this.announceChanges(this.context.phases.observeResponse(endpoint, firstTokenMs, options), {
+			...evidence, firstTokenMs: Math.round(firstTokenMs), uncertaintyMs: Math.round(options.uncertaintyMs ?? 0),
+		});
+	}
+
 	#applyPhase(peer: string, message: EndpointPhaseMessage): void {
 		const {phases} = this.context;
 		const previousPhase = phases.phase(message.endpoint);
@@ -102,13 +110,13 @@
 		}
 	}
 
-	#recordChange({endpoint, phase, limit, epoch, reason}: EndpointPhaseMessage, previousPhase: string, actor: string): void {
+	#recordChange({endpoint, phase, limit, epoch, reason}: EndpointPhaseMessage, previousPhase: string, actor: string, evidence?: Readonly<Record<string, unknown>>): void {
 		const {audit, logger, directory} = this.context;
 		audit.record({
 			event: 'phase-changed', actor, endpoint, from: previousPhase, to: phase, epoch, reason,
 		});
 		logger.info({
-			endpoint, availabilityZone: directory.endpoint(endpoint)?.availabilityZone, phase, limit, epoch, reason, actor,
+			endpoint, availabilityZone: directory.endpoint(endpoint)?.availabilityZone, phase, limit, epoch, reason, actor, ...evidence,
 		}, 'phase-changed');
 	}
 }
--- a/test/entry/membership/messages.test.ts
+++ b/test/entry/membership/messages.test.ts
@@ -59,7 +59,7 @@
 		kind: 'endpoint-phase', endpoint: 'engine-1', epoch: 4, phase: 'warming', limit: 4, reason: 'answers at normal speed',
 	},
 	{
-		kind: 'endpoint-answer', endpoint: 'engine-1', epoch: 4, firstTokenMilliseconds: 120.5, uncertaintyMilliseconds: 40,
+		kind: 'endpoint-answer', endpoint: 'engine-1', epoch: 4, firstTokenMilliseconds: 120.5, uncertaintyMilliseconds: 40, requestId: 'entry-1_a_1', isStream: false,
 	},
 	{kind: 'units-above-limit', endpoint: 'engine-1', units: 2},
 ];
