Add the reports of requests above limits up once for all endpoints

Found when the change was read again: for each endpoint the reports of all peers were looked through, at each heartbeat, so the cost grew with the endpoints times the square of the entries. The reports are now added up once, and mostly nothing is in them.

--- a/src/entry/scheduler/peer-reports.ts
+++ b/src/entry/scheduler/peer-reports.ts
@@ -33,14 +33,16 @@
 		this.#reports.get(slot)?.unitsAboveLimit.set(endpoint, units);
 	}
 
-	/** Units above the limit of the endpoint on which requests of peers are in flight. */
-	unitsAboveLimit(endpoint: string): number {
-		let units = 0;
+	/** Units above the limits of endpoints on which requests of peers are in flight, by endpoint. */
+	unitsAboveLimit(): Map<string, number> {
+		const sums = new Map<string, number>();
 		for (const slot of this.#reports.keys()) {
-			units += this.#recentReport(slot)?.unitsAboveLimit.get(endpoint) ?? 0;
+			for (const [endpoint, units] of this.#recentReport(slot)?.unitsAboveLimit ?? []) {
+				sums.set(endpoint, (sums.get(endpoint) ?? 0) + units);
+			}
 		}
 
-		return units;
+		return sums;
 	}
 
 	remove(slot: string): void {
--- a/src/entry/scheduler/phase-reports.ts
+++ b/src/entry/scheduler/phase-reports.ts
@@ -76,9 +76,10 @@
 	/** Sets the unit limits of the current phases, and what the requests of peers above them take of them. */
 	applyLimits(): void {
 		const {ledger, peerReports, phases} = this.context;
+		const unitsAboveLimit = peerReports.unitsAboveLimit();
 		for (const {endpoint, limit} of phases.toMessages()) {
 			ledger.setPhaseLimit(endpoint, limit);
-			ledger.setUnitsAboveLimitOfPeers(endpoint, peerReports.unitsAboveLimit(endpoint));
+			ledger.setUnitsAboveLimitOfPeers(endpoint, unitsAboveLimit.get(endpoint) ?? 0);
 			this.announceUnitsAboveLimit(endpoint);
 		}
 	}
