Accept all connections that wait before a planned stop closes the listener

What callers saw: ECONNRESET for requests to an instance that stops. Trace (trial with times): the listener closed while two connections were established and not accepted; both were reset. Node.js accepts a single connection in each round of its event loop, and a stopping process read what had arrived in three rounds, so it accepted at most three. Change: reading goes on until no connection was accepted in three rounds (1,024 at most), and a stop waits until the listener is closed. Ruled out: requests that are cut by the closing of idle connections, because a connection without a request is not idle to Node.js; the change of late checks, as the failure has the same trace without it.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -103,12 +103,22 @@
 		this.#isStopping = true;
 	}
 
+	/** Whether new connections are accepted. */
+	get isListening(): boolean {
+		return this.#server.listening;
+	}
+
 	/** Closes connections without a request, once the requests that have arrived are read. */
 	async closeIdleConnections(): Promise<void> {
-		await readArrivedRequests();
+		await this.readArrivedRequests();
 		this.#server.closeIdleConnections();
 	}
 
+	/** Resolves when connections and requests that have already arrived have been accepted and read. */
+	async readArrivedRequests(): Promise<void> {
+		await readArrivedRequests(this.#server);
+	}
+
 	/** Stops accepting and closes connections without a request, once the requests that have arrived are read. */
 	async close(): Promise<void> {
 		await closeAfterReading(this.#server);
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -2,7 +2,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock, Milliseconds} from '../shared/clock.js';
 import {DisposableStore} from '../shared/disposable-store.js';
-import {readArrivedRequests} from '../shared/listen.js';
 import {Admission} from './callers/admission.js';
 import {CallerServer, type ReceivedRequest} from './callers/caller-server.js';
 import {EndpointConnectionPools} from './forwarding/endpoint-connection-pools.js';
@@ -263,7 +262,7 @@
 		});
 		const closedAt = clock.now();
 		log.event('closing', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(closedAt - stopAt)});
-		await this.#waitUntil(() => clock.now() >= endAt || isClosed || (this.#callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
+		await this.#waitUntil(() => clock.now() >= endAt || isClosed || (!this.#callerServer.isListening && this.#callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
 		this.#heartbeats.sendLeaving();
 		log.event('stopped', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(clock.now() - stopAt)});
 	}
@@ -485,7 +484,7 @@
 			// eslint-disable-next-line no-await-in-loop
 			await delay(checkIntervalMs);
 			// eslint-disable-next-line no-await-in-loop
-			await readArrivedRequests();
+			await this.#callerServer.readArrivedRequests();
 		} while (!isDone());
 	}
 }
--- a/src/shared/listen.ts
+++ b/src/shared/listen.ts
@@ -22,16 +22,28 @@
 	});
 }
 
-/** Rounds of the event loop in which everything that has arrived is handled: the first one accepts connections, the second one reads their requests, the third one the bodies that follow. */
+/** Rounds of the event loop in which what has arrived on a new connection is handled: the first one accepts it, the second one reads its request, the third one the body that follows. */
 const readingRounds = 3;
 
+/** Rounds after which reading ends although each of them has accepted a connection. More than wait to be accepted by default. */
+const maximumReadingRounds = 1024;
+
 /** Resolves when connections and requests that have already arrived have been accepted and read. A busy process may not have read anything for seconds. */
-export async function readArrivedRequests(): Promise<void> {
-	for (let round = 0; round < readingRounds; round++) {
-		// An immediate runs right after the phase of the event loop that accepts and reads.
+export async function readArrivedRequests(server: Server): Promise<void> {
+	let remainingRounds = readingRounds;
+	const onConnection = () => {
+		remainingRounds = readingRounds;
+	};
+
+	server.on('connection', onConnection);
+	for (let round = 0; round < maximumReadingRounds && remainingRounds > 0; round++) {
+		// An immediate runs right after the phase of the event loop that reads, and accepts a single connection.
 		// eslint-disable-next-line no-await-in-loop
 		await setImmediate();
+		remainingRounds--;
 	}
+
+	server.off('connection', onConnection);
 }
 
 /**
@@ -40,7 +52,7 @@
 Requests that have already arrived are read first, because closing their connections, or the listener before it accepts them, would reset them.
 */
 export async function closeAfterReading(server: Server): Promise<void> {
-	await readArrivedRequests();
+	await readArrivedRequests(server);
 	return new Promise(resolve => {
 		server.close(() => {
 			resolve();
--- a/test/shared/listen.test.ts
+++ b/test/shared/listen.test.ts
@@ -1,5 +1,5 @@
 import {createServer} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {closeAfterReading, listen} from '../../src/shared/listen.js';
 import {CallerThread} from '../fixtures/caller-thread.js';
@@ -28,6 +28,36 @@
 	await closed;
 });
 
+/** Opens a connection, sends a request on it and resolves with the response or the code of the error. */
+async function sendOnNewConnection(port: number): Promise<string> {
+	const socket = connect(port, '127.0.0.1');
+	return new Promise(resolve => {
+		let response = '';
+		socket.on('connect', () => {
+			socket.write('GET / HTTP/1.1\r\nhost: office.example\r\n\r\n');
+		});
+		socket.on('data', (chunk: Uint8Array) => {
+			response += chunk.toString();
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			resolve(error.code ?? 'unknown');
+		});
+		socket.on('close', () => {
+			resolve(response);
+		});
+	});
+}
+
+// Guards against connections that are reset because the event loop accepts only one in each of its rounds.
+test('many connections that wait to be accepted are accepted, and their requests answered, before the server is closed', async t => {
+	const {server} = await startServer(t);
+	const {port} = server.address() as AddressInfo;
+	const responses = Array.from({length: 30}, async () => sendOnNewConnection(port));
+	await closeAfterReading(server);
+	const texts = await Promise.all(responses);
+	t.deepEqual(texts.filter(text => !text.startsWith('HTTP/1.1 200 ')), []);
+});
+
 test('a request that arrived on a kept connection before the server is closed is answered', async t => {
 	const {server, caller} = await startServer(t);
 	t.regex(await caller.send(), /^HTTP\/1\.1 200 /v);
