Give engines of the soak ports that no outgoing connection can take

The port was one that the system had chosen, from the range of outgoing connections, and one of these had taken it meanwhile. Change: such endpoints listen at ports below that range, as processes of the integration tests do.

--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -18,4 +18,5 @@
 	{seed: 9604, minutes: 0.45, cause: 'as 9602; reads of the store timed out'},
 	{seed: 9605, minutes: 0.45, cause: 'as 9604'},
 	{seed: 9606, minutes: 0.45, cause: 'a read of the store took over 3 s beside CI and two hunts, so a leaving endpoint was known late'},
+	{seed: 9611, minutes: 0.45, cause: 'an outgoing connection had taken the port of a crashed engine, which could not come back at it'},
 ] as const;
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -11,6 +11,7 @@
 import {FaultProxy} from '../standins/fault-proxy.js';
 import {DeadlineError, waitFor} from '../standins/fleet/deadline.js';
 import {FleetProcess, parseLogLine} from '../standins/fleet/fleet-process.js';
+import {findFreePort} from '../standins/fleet/ports.js';
 import {
 	createConfigurationDocument, createEndpointDocument, createSettingsDocument, instancePorts,
 } from '../standins/platform-documents.js';
@@ -239,7 +240,7 @@
 		this.#lastEndpointNumber++;
 		const id = `e${this.#lastEndpointNumber}`;
 		const standIn = await this.#startStandIn(id, service);
-		const proxy = this.#disposables.add(await FaultProxy.start({target: standIn.address, port: crashedPort}));
+		const proxy = this.#disposables.add(await FaultProxy.start({target: standIn.address, port: crashedPort ?? await findFreePort()}));
 		const endpoint: SoakEndpoint = {
 			id, service, availabilityZone, proxy, standIn, startCount: 1, isBusy: false,
 		};
