Give entries of the membership tests addresses that no outgoing connection can take

Trace: the replacement of an entry listens at the address of the first process, which was a port that the system had chosen, from the range of outgoing connections; a connection of another test had taken it after the first process ended. Change: such entries listen at ports below that range, as in the integration tests. Looked for the same elsewhere: crashing engines have a host of their own, processes of the integration tests use these ports already.

--- a/test/entry/membership/peer-harness.ts
+++ b/test/entry/membership/peer-harness.ts
@@ -13,6 +13,7 @@
 import type {
 	LeaseChanged, MembershipEvent, MembershipMessage, PeerMessageReceived,
 } from '../../../src/entry/membership/types.js';
+import {findFreeAddress} from '../../../standins/fleet/ports.js';
 
 const invariants = Invariants.create('throw');
 const output = new Writable({
@@ -39,6 +40,7 @@
 	readonly slot: string;
 	readonly incarnation?: string;
 	readonly seedPeers?: string[];
+	/** Default: a free one. */
 	readonly peersAddress?: string;
 };
 
@@ -47,7 +49,8 @@
 /** One entry with the messages that it posted and the events that it counted. */
 export class TestEntry {
 	static async start(options: EntryOptions): Promise<TestEntry> {
-		const entry = new TestEntry(options);
+		// No outgoing connection can take the address before a replacement listens at it.
+		const entry = new TestEntry({...options, peersAddress: options.peersAddress ?? await findFreeAddress()});
 		await entry.task.start();
 		return entry;
 	}
