--- a/test/integration/phase-detection.test.ts
+++ b/test/integration/phase-detection.test.ts
@@ -4,9 +4,6 @@
 	assertInvariants, countResults, createLoadPlan, runFleetLoad, startServingFleet,
 } from '../fixtures/fleet-under-load.js';
 
-/** Shortest time to the first token that shows a cold start. */
-const lateFirstTokenMs = 1000;
-
 // Guards against a warm engine that is detected as cold because a long response that is not streamed sends its first byte late.
 test('long responses that are not streamed do not make a warm engine cold', async t => {
 	const fleet = await startServingFleet(t);
@@ -28,9 +25,6 @@
 		.flatMap(({logPath}) => readFileSync(logPath, 'utf8').split('\n'))
 		.filter(line => line.includes('event=phase-changed') && line.includes('reason=slow-first-token') && line.includes('actor=self'));
 	t.log(countResults(records), detections);
-	// On a machine without free processor time the first token of a stream may really be late.
-	const isLateStream = (line: string) => line.includes(' isStream=true ')
-		&& records.some(({requestId, firstTokenMilliseconds}) => firstTokenMilliseconds! >= lateFirstTokenMs && line.includes(` requestId=${requestId} `));
-	t.deepEqual(detections.filter(line => !isLateStream(line)), []);
+	t.deepEqual(detections, []);
 	await assertInvariants(t, fleet, records);
 });
