End the reading before a planned stop within a second

Found when the change was read again: since reading goes on while connections are accepted, 1,024 rounds bounded it, however long a round takes. In a busy process with callers that connect in each round a stop could outlast its grace period, and the end of the process would cut requests. Change: reading ends after a second, but not before three rounds.

--- a/src/shared/listen.ts
+++ b/src/shared/listen.ts
@@ -1,6 +1,7 @@
 import type {Server} from 'node:http';
 import {setImmediate} from 'node:timers/promises';
 import type {SocketAddress} from './address.js';
+import {SystemClock, type Milliseconds} from './clock.js';
 
 export type ListenAddress = SocketAddress & {
 	/** Maximum number of connections that wait to be accepted. Default: that of Node.js. */
@@ -25,8 +26,10 @@
 /** Rounds of the event loop in which what has arrived on a new connection is handled: the first one accepts it, the second one reads its request, the third one the body that follows. */
 const readingRounds = 3;
 
-/** Rounds after which reading ends although each of them has accepted a connection. More than wait to be accepted by default. */
-const maximumReadingRounds = 1024;
+/** Time after which reading ends although each round accepts a connection. A stop has only its grace period. */
+const maximumReadingMs: Milliseconds = 1000;
+
+const clock = SystemClock.create();
 
 /** Resolves when connections and requests that have already arrived have been accepted and read. A busy process may not have read anything for seconds. */
 export async function readArrivedRequests(server: Server): Promise<void> {
@@ -36,7 +39,8 @@
 	};
 
 	server.on('connection', onConnection);
-	for (let round = 0; round < maximumReadingRounds && remainingRounds > 0; round++) {
+	const endsAt = clock.now() + maximumReadingMs;
+	for (let round = 0; remainingRounds > 0 && (round < readingRounds || clock.now() < endsAt); round++) {
 		// An immediate runs right after the phase of the event loop that reads, and accepts a single connection.
 		// eslint-disable-next-line no-await-in-loop
 		await setImmediate();
--- a/test/shared/listen.test.ts
+++ b/test/shared/listen.test.ts
@@ -1,7 +1,8 @@
 import {createServer} from 'node:http';
 import {connect, type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
-import {closeAfterReading, listen} from '../../src/shared/listen.js';
+import {closeAfterReading, listen, readArrivedRequests} from '../../src/shared/listen.js';
+import {blockThread} from '../fixtures/block-thread.js';
 import {CallerThread} from '../fixtures/caller-thread.js';
 
 async function startServer(t: ExecutionContext) {
@@ -58,6 +59,31 @@
 	t.deepEqual(texts.filter(text => !text.startsWith('HTTP/1.1 200 ')), []);
 });
 
+// Guards against a stop that outlasts its grace period, because callers open a connection in each round of a busy event loop.
+test('reading ends although each round accepts a connection', async t => {
+	const {server} = await startServer(t);
+	const {port} = server.address() as AddressInfo;
+	let acceptedCount = 0;
+	let isReading = true;
+	const open = () => {
+		const socket = connect(port, '127.0.0.1');
+		t.teardown(() => socket.destroy());
+	};
+
+	server.on('connection', () => {
+		acceptedCount++;
+		if (isReading) {
+			open();
+			blockThread(20);
+		}
+	});
+	open();
+	await readArrivedRequests(server);
+	isReading = false;
+	t.true(acceptedCount > 0);
+	t.true(acceptedCount <= 100, `${acceptedCount} connections of 20 ms each were accepted`);
+});
+
 test('a request that arrived on a kept connection before the server is closed is answered', async t => {
 	const {server, caller} = await startServer(t);
 	t.regex(await caller.send(), /^HTTP\/1\.1 200 /v);
