Close the server of the test that opens a connection in each round

The test left its server listening; the same had made the run of the file "time out" before, with the old and the new code. Change: its teardown closes the server.

--- a/test/shared/listen.test.ts
+++ b/test/shared/listen.test.ts
@@ -78,6 +78,7 @@
 		}
 	});
 	open();
+	t.teardown(() => server.close());
 	await readArrivedRequests(server);
 	isReading = false;
 	t.true(acceptedCount > 0);
