Log what endpoints state about themselves in their responses

The logs could not tell whether an instance had been told of a limit: `endpoint-stated` now names the endpoint, its start, and the limit, leaving or retry time of a response, each time that they change. Nothing acts on them yet.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {Milliseconds} from '../../shared/clock.js';
-import type {Protocol} from '../protocol.js';
+import type {EndpointStatement, Protocol} from '../protocol.js';
 import {attemptOutcomes, type AttemptOutcome} from '../scheduling/endpoint-load.js';
 import {requestKinds, type Route} from '../site/types.js';
 import {EventSplitter} from './event-splitter.js';
@@ -62,6 +62,7 @@
 	#head: ResponseHead | undefined;
 	#isFramed = true;
 	#isEventStream = false;
+	#statement: EndpointStatement | undefined;
 	#lastProgressAt: Milliseconds;
 	#firstEventAt: Milliseconds | undefined;
 	#eventCount = 0;
@@ -92,6 +93,11 @@
 		return this.#head;
 	}
 
+	/** What the endpoint stated about itself in its response to this request. */
+	get statement(): EndpointStatement | undefined {
+		return this.#statement;
+	}
+
 	/** Whether the response says where it ends. */
 	get isFramed(): boolean {
 		return this.#isFramed;
@@ -165,6 +171,8 @@
 		this.#isFramed = metadata.isFramed;
 		this.#isEventStream = metadata.isEventStream;
 		const isOwn = metadata.requestId === requestId;
+		// Another endpoint at the same address responds with 421.
+		this.#statement = isOwn && head.status !== 421 ? metadata.statement : undefined;
 		if (isOwn && metadata.isNotRun) {
 			this.#kind = responseKinds.rejected;
 		} else if (!isOwn || !metadata.isSealed || metadata.hasContentEncoding) {
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -227,7 +227,7 @@
 				return maySend;
 			},
 			onHead: head => {
-				this.#onHead(attempt, head);
+				this.#onHead(attempt, endpoint, head);
 			},
 			onData: chunk => {
 				this.#onData(attempt, chunk);
@@ -238,8 +238,12 @@
 		});
 	}
 
-	#onHead(attempt: Attempt, head: ResponseHead): void {
+	#onHead(attempt: Attempt, endpoint: EndpointRecord, head: ResponseHead): void {
 		const foreignRequestId = attempt.acceptHead(head, this.context.clock.now());
+		if (attempt.statement !== undefined) {
+			this.context.recordStatement(endpoint, attempt.statement, attempt.sentAt);
+		}
+
 		if (attempt.kind === responseKinds.foreign) {
 			this.context.log.event('foreign-answer', {
 				requestId: this.requestId, endpoint: attempt.endpointId, answerTo: foreignRequestId, status: head.status,
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -3,7 +3,7 @@
 import type {CallerRequestMetadata} from '../callers/types.js';
 import type {RetryBudgets} from '../limits/retry-budgets.js';
 import type {EventLog} from '../observability/event-log.js';
-import type {Protocol} from '../protocol.js';
+import type {EndpointStatement, Protocol} from '../protocol.js';
 import type {CrashContainment} from '../quarantine/crash-containment.js';
 import type {AttemptOutcome} from '../scheduling/endpoint-load.js';
 import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
@@ -65,6 +65,8 @@
 	readonly acquireConnection: (endpoint: EndpointRecord, isRetryable: boolean) => EndpointConnection;
 	/** Whether the request may still be sent to the endpoint. */
 	readonly maySend: (endpoint: EndpointRecord) => boolean;
+	/** @param sentAt when the request was sent that the endpoint responded to */
+	readonly recordStatement: (endpoint: EndpointRecord, statement: EndpointStatement, sentAt: Milliseconds) => void;
 	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	readonly onEnd: (result: ForwardResult) => void;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -33,6 +33,7 @@
 import {SiteState, type SiteChange} from './site/site-state.js';
 import {selectWitnesses} from './site/witness-selection.js';
 import type {EndpointRecord, Service, SiteConfirmation} from './site/types.js';
+import {EndpointStatements} from './statements/endpoint-statements.js';
 
 /** Interval of the checks for requests whose deadline may have passed. */
 const checkIntervalMs: Milliseconds = 50;
@@ -91,6 +92,7 @@
 	readonly #schedulers: ServiceSchedulers;
 	readonly #connectionPools: EndpointConnectionPools;
 	readonly #containment: CrashContainment;
+	readonly #statements: EndpointStatements;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
 	readonly #startedAt: Milliseconds;
@@ -131,6 +133,7 @@
 			},
 			random: Math.random,
 		});
+		this.#statements = EndpointStatements.create({clock, log});
 		this.#admission = Admission.create({
 			site: this.#site,
 			freshness: this.#freshness,
@@ -337,6 +340,9 @@
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
 			maySend: endpoint => this.#maySend(freshnessArrivedAt, endpoint),
 			containment: this.#containment,
+			recordStatement: (endpoint, statement, sentAt) => {
+				this.#statements.record(endpoint, statement, sentAt);
+			},
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
 			},
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -14,6 +14,17 @@
 
 export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
+/** What an endpoint states about itself in the headers of a response. */
+export type EndpointStatement = {
+	/** Requests a second that it takes from all instances together. */
+	readonly requestsPerSecond?: number;
+	readonly isLeaving: boolean;
+	/** Time after which it takes requests of this instance again, if it has turned one away. */
+	readonly retryAfterMs?: Milliseconds;
+	/** Values that can't be read, by header name. */
+	readonly unreadable: Readonly<Record<string, string>>;
+};
+
 /** Information in the headers of an endpoint's response. */
 export type EndpointResponseMetadata = {
 	readonly requestId?: string;
@@ -26,6 +37,7 @@
 	readonly isEventStream: boolean;
 	/** Whether the response has a length or chunked framing. Otherwise closing the connection ends it, and an incomplete response can't be distinguished from a complete one. */
 	readonly isFramed: boolean;
+	readonly statement: EndpointStatement;
 };
 
 /** Encodes and decodes the headers that the gateway exchanges with callers and endpoints. */
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -126,6 +126,9 @@
 	readonly receivedRequests: ReceivedRequest[] = [];
 	/** Each applies to one request, in order; later requests get a normal response. */
 	readonly faults: EndpointFault[] = [];
+	/** Headers that all responses carry, and those that only rejections carry. */
+	statedHeaders: Record<string, string> = {};
+	rejectionHeaders: Record<string, string> = {};
 	#server!: StandInServer;
 
 	private constructor(readonly options: PlatformEndpointOptions) {}
@@ -169,7 +172,7 @@
 		} else {
 			await this.options.beforeResponse?.();
 			await delay(this.options.serviceTimeMs ?? 0);
-			response.writeHead(200, {...sealHeaders(id, requestId), 'content-type': 'text/plain'});
+			response.writeHead(200, {...sealHeaders(id, requestId), ...this.statedHeaders, 'content-type': 'text/plain'});
 			response.end(plainResponseBody(requestId));
 		}
 	}
@@ -179,8 +182,10 @@
 		const requestId = String(request.headers['x-request-id']);
 		const {id} = this.options;
 		const handlers: Partial<Record<EndpointFault, () => void>> = {
-			reject() {
-				response.writeHead(503, {'x-not-executed': '1', 'x-request-id': requestId});
+			reject: () => {
+				response.writeHead(503, {
+					'x-not-executed': '1', 'x-request-id': requestId, ...this.statedHeaders, ...this.rejectionHeaders,
+				});
 				response.end();
 			},
 			error() {
@@ -252,7 +257,7 @@
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
 		const crashingPart = this.#findCrashingPart(request);
 		const writeHead = () => {
-			response.writeHead(200, {...sealHeaders(id, String(request.headers['x-request-id'])), 'content-type': 'text/event-stream'});
+			response.writeHead(200, {...sealHeaders(id, String(request.headers['x-request-id'])), ...this.statedHeaders, 'content-type': 'text/event-stream'});
 		};
 
 		if (crashingPart !== undefined) {
