--- a/test/gateway/endpoint-statements.test.ts
+++ b/test/gateway/endpoint-statements.test.ts
@@ -72,10 +72,10 @@
 /** Lets two engines name a limit under load, sent by the callers of the given instances. */
 async function assertLimitIsKept(t: ExecutionContext, site: Site, gateways: readonly Gateway[], limit: number): Promise<void> {
 	const limited = site.engines.slice(0, 2);
-	let namedAt = Infinity;
+	const named = {at: Infinity};
 	const calls = await withLoad(site, gateways, async () => {
 		await delay(1000);
-		namedAt = performance.now();
+		named.at = performance.now();
 		for (const engine of limited) {
 			engine.statedHeaders = {'server-limit': String(limit)};
 		}
@@ -84,9 +84,9 @@
 	});
 	for (const engine of limited) {
 		const arrivals = findArrivals(engine, calls);
-		const maximum = maximumInWindow(arrivals, findToldTimes(engine, calls, 'server-limit'), namedAt);
+		const maximum = maximumInWindow(arrivals, findToldTimes(engine, calls, 'server-limit'), named.at);
 		t.true(maximum <= allowedInWindow(limit), `${maximum} requests in 4 s, ${allowedInWindow(limit)} allowed`);
-		const got = arrivals.filter(({receivedAt}) => receivedAt > namedAt + contactMs).length;
+		const got = arrivals.filter(({receivedAt}) => receivedAt > named.at + contactMs).length;
 		t.true(got >= limit * 8 / 2, `${got} requests in 8 s`);
 	}
 
