Send nothing to endpoints that state in a response that they leave

Callers saw nothing; the endpoint got requests that it had to finish while it left, and cut them if it did not wait. Cause: `Server-Leaving` was passed on and not read; only the record in the store counted.

Change: the statement belongs to one start of an endpoint (id and start time) and has no end, whatever its record or a later response says. It is checked where an endpoint is selected and again in the step that writes the request, so also requests that wait for a connection go elsewhere. All of them stop at once: a leaving endpoint finishes what it has, and the others have places or a queue.

Log: `endpoint-states-leaving` (who heard it, how old); metrics `jackdawfork_leaving_endpoints` and `jackdawfork_endpoint_statements_total`. The temporary `endpoint-stated` is gone; `endpoint-statement-rejected` reports what can't be read.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -14,7 +14,7 @@
 import {HeartbeatExchange} from './membership/heartbeat-exchange.js';
 import {HeartbeatTask} from './membership/heartbeat-task.js';
 import {PeerAccounting} from './membership/peer-accounting.js';
-import {PeerGroup, type PeerChange} from './membership/peer-group.js';
+import {greetedChanges, PeerGroup, type PeerChange} from './membership/peer-group.js';
 import type {Heartbeat} from './membership/types.js';
 import {CrashContainment} from './quarantine/crash-containment.js';
 import {partKeysOf} from './quarantine/part-keys.js';
@@ -34,6 +34,8 @@
 import {selectWitnesses} from './site/witness-selection.js';
 import type {EndpointRecord, Service, SiteConfirmation} from './site/types.js';
 import {EndpointStatements} from './statements/endpoint-statements.js';
+import type {EndpointStart} from './statements/types.js';
+import {StatementExchange} from './statements/statement-exchange.js';
 
 /** Interval of the checks for requests whose deadline may have passed. */
 const checkIntervalMs: Milliseconds = 50;
@@ -93,6 +95,7 @@
 	readonly #connectionPools: EndpointConnectionPools;
 	readonly #containment: CrashContainment;
 	readonly #statements: EndpointStatements;
+	readonly #statementReports: StatementExchange;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
 	readonly #startedAt: Milliseconds;
@@ -133,7 +136,20 @@
 			},
 			random: Math.random,
 		});
-		this.#statements = EndpointStatements.create({clock, log});
+		this.#statements = EndpointStatements.create({
+			ownHost: settings.host,
+			clock,
+			log,
+			onNews: reports => {
+				this.#heartbeats.send(this.#statementReports.publish(reports, clock.now()));
+			},
+			onStatement: kind => {
+				this.#metrics.recordStatement(kind);
+			},
+		});
+		this.#statementReports = StatementExchange.create({
+			peers: this.#peers, ownHost: settings.host, statements: this.#statements, random: Math.random,
+		});
 		this.#admission = Admission.create({
 			site: this.#site,
 			freshness: this.#freshness,
@@ -183,6 +199,7 @@
 				this.#onHeartbeat(heartbeat);
 			},
 			crashReports: this.#containment.exchange,
+			statementReports: this.#statementReports,
 			onSummary: summary => this.#peerAccounting.receiveSummary(summary, clock.now()),
 		});
 		this.#heartbeats = HeartbeatTask.create({
@@ -220,6 +237,7 @@
 		}, checkIntervalMs);
 		this.#disposables.addInterval(() => {
 			this.#containment.expire();
+			this.#statements.expire(start => this.#isListed(start));
 		}, expiryIntervalMs);
 	}
 
@@ -340,8 +358,8 @@
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
 			maySend: endpoint => this.#maySend(freshnessArrivedAt, endpoint),
 			containment: this.#containment,
-			recordStatement: (endpoint, statement, sentAt) => {
-				this.#statements.record(endpoint, statement, sentAt);
+			recordStatement: (endpoint, statement) => {
+				this.#statements.record(endpoint, statement);
 			},
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
@@ -365,7 +383,11 @@
 	/** Whether the process that wrote an endpoint's record is registered and does not leave. */
 	#isServing(endpoint: EndpointRecord): boolean {
 		const current = this.#site.endpoints.get(endpoint.id);
-		return current !== undefined && !current.isLeaving && current.startedAt === endpoint.startedAt;
+		return current !== undefined && !current.isLeaving && current.startedAt === endpoint.startedAt && !this.#statements.isLeaving(endpoint);
+	}
+
+	#isListed({id, startedAt}: EndpointStart): boolean {
+		return this.#site.endpoints.get(id)?.startedAt === startedAt;
 	}
 
 	/** @param arrivedAt arrival of the request on the clock of the site state */
@@ -396,6 +418,11 @@
 		}
 
 		this.#containment.handlePeerChanges(changes);
+		for (const {kind, host} of changes) {
+			if (greetedChanges.has(kind)) {
+				this.#heartbeats.send(this.#statementReports.greet(host, this.options.clock.now()));
+			}
+		}
 	}
 
 	#onSiteChanges(changes: readonly SiteChange[]): void {
@@ -420,6 +447,7 @@
 			clock,
 			coldRateLimiter: this.#coldRateLimiter,
 			availabilityZone: settings.availabilityZone,
+			restrictions: {isLeaving: endpoint => this.#statements.isLeaving(endpoint)},
 			peerInFlightAt: id => this.#peers.inFlightAt(id),
 			isPeerLoadLate: () => this.#peers.isZoned,
 			members: () => this.#peers.members(),
@@ -481,6 +509,7 @@
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
 			quarantineEntries: this.#containment.status().length,
+			leavingEndpoints: this.#statements.leavingCount(start => this.#isListed(start)),
 		});
 	}
 
--- a/src/gateway/membership/gossip-exchange.ts
+++ b/src/gateway/membership/gossip-exchange.ts
@@ -37,6 +37,11 @@
 	return groups;
 }
 
+/** Returns some items, beginning at a position that may exceed their number, so that repeated repairs cover all in turn. */
+export function selectInRotation<Item>(items: readonly Item[], position: number, count: number): Item[] {
+	return Array.from({length: Math.min(count, items.length)}, (_, index) => items[(position + index) % items.length]!);
+}
+
 type PendingItem<Item> = {
 	readonly item: Item;
 	/** Items from another zone are sent within this zone only. */
--- a/src/gateway/membership/heartbeat-codec.ts
+++ b/src/gateway/membership/heartbeat-codec.ts
@@ -2,6 +2,8 @@
 import * as z from 'zod';
 import {crashReportFormatVersion, crashReportFrom} from '../quarantine/crash-report-codec.js';
 import type {CrashReport} from '../quarantine/types.js';
+import {statementReportFormatVersion, statementReportsFrom} from '../statements/statement-report-codec.js';
+import type {ReceivedStatementReport} from '../statements/types.js';
 import type {Heartbeat, ZoneSummary} from './types.js';
 
 /** Versions of the format of heartbeats, without and with the size of the fleet. Instances ignore datagrams of any other version. */
@@ -67,37 +69,39 @@
 export type MembershipMessage
 	= | {readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat}
 		| {readonly kind: 'summary'; readonly summary: ZoneSummary}
-		| {readonly kind: 'crash-report'; readonly report: CrashReport};
+		| {readonly kind: 'crash-report'; readonly report: CrashReport}
+		| {readonly kind: 'statement-reports'; readonly reports: readonly ReceivedStatementReport[]};
+
+function summaryFrom(content: unknown): ZoneSummary {
+	const [, availabilityZone, relayHost, relayIncarnation, sequence, hosts, otherRelays, inFlight, usage] = summarySchema.parse(content);
+	return {
+		availabilityZone,
+		relayHost,
+		relayIncarnation,
+		sequence,
+		hosts: hosts.map(number => numberToHost(number)),
+		otherRelays: otherRelays.map(([zone, number]) => [zone, numberToHost(number)]),
+		inFlight,
+		usage,
+	};
+}
+
+/** Decoders by the version of the format, which is the first element of a message. All others are heartbeats. */
+const messageDecoders = new Map<unknown, (content: unknown) => MembershipMessage>([
+	[summaryFormatVersion, content => ({kind: 'summary', summary: summaryFrom(content)})],
+	[crashReportFormatVersion, content => ({kind: 'crash-report', report: crashReportFrom(content)})],
+	[statementReportFormatVersion, content => ({kind: 'statement-reports', reports: statementReportsFrom(content)})],
+]);
 
 /**
 Decodes a datagram.
 
-@throws {Error} when it is no heartbeat, zone summary or crash report of these format versions
+@throws {Error} when it is no message of these format versions
 */
 export function decodeMessage(datagram: Uint8Array): MembershipMessage {
 	const content: unknown = unpack(datagram);
-	if (isOfVersion(content, crashReportFormatVersion)) {
-		return {kind: 'crash-report', report: crashReportFrom(content)};
-	}
-
-	if (!isOfVersion(content, summaryFormatVersion)) {
-		return {kind: 'heartbeat', heartbeat: heartbeatFrom(content)};
-	}
-
-	const [, availabilityZone, relayHost, relayIncarnation, sequence, hosts, otherRelays, inFlight, usage] = summarySchema.parse(content);
-	return {
-		kind: 'summary',
-		summary: {
-			availabilityZone,
-			relayHost,
-			relayIncarnation,
-			sequence,
-			hosts: hosts.map(number => numberToHost(number)),
-			otherRelays: otherRelays.map(([zone, number]) => [zone, numberToHost(number)]),
-			inFlight,
-			usage,
-		},
-	};
+	const decode = messageDecoders.get(Array.isArray(content) ? content[0] : undefined);
+	return decode === undefined ? {kind: 'heartbeat', heartbeat: heartbeatFrom(content)} : decode(content);
 }
 
 /** Encodes a heartbeat as one datagram. */
--- a/src/gateway/membership/heartbeat-exchange.ts
+++ b/src/gateway/membership/heartbeat-exchange.ts
@@ -1,6 +1,9 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import type {CrashReportExchange} from '../quarantine/crash-report-exchange.js';
-import {decodeMessage, encodeHeartbeat, encodeSummary} from './heartbeat-codec.js';
+import type {StatementExchange} from '../statements/statement-exchange.js';
+import {
+	decodeMessage, encodeHeartbeat, encodeSummary, type MembershipMessage,
+} from './heartbeat-codec.js';
 import type {PeerGroup} from './peer-group.js';
 import type {Heartbeat, WorkspaceUsage, ZoneSummary} from './types.js';
 
@@ -30,6 +33,7 @@
 	readonly zoneUsage: () => readonly WorkspaceUsage[];
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
 	readonly crashReports: CrashReportExchange;
+	readonly statementReports: StatementExchange;
 	/** Returns whether the summary is new. */
 	readonly onSummary: (summary: ZoneSummary) => boolean;
 };
@@ -64,7 +68,7 @@
 
 	/** Returns what is to be sent now. */
 	tick(now: Milliseconds): OutgoingDatagram[] {
-		const {peers, crashReports} = this.options;
+		const {peers, crashReports, statementReports} = this.options;
 		const outgoing: OutgoingDatagram[] = [{datagram: this.#encode(false, peers.presentHosts()), targets: peers.heartbeatTargets(now)}];
 		const summaryIntervalMs = Math.max(minimumSummaryIntervalMs, peers.memberCount * summaryIntervalPerInstanceMs);
 		if (now - this.#lastSummaryAt >= summaryIntervalMs && peers.isRelay) {
@@ -72,7 +76,7 @@
 			outgoing.push({datagram: this.#encodeSummary(), targets: new Set(peers.summaryTargets())});
 		}
 
-		return [...outgoing, ...crashReports.tick(now)];
+		return [...outgoing, ...crashReports.tick(now), ...statementReports.tick(now)];
 	}
 
 	/**
@@ -82,17 +86,24 @@
 	@throws {Error} when it is of another format
 	*/
 	receive(datagram: Uint8Array, sender: string, now: Milliseconds): OutgoingDatagram[] {
-		const {peers, crashReports, onHeartbeat, onSummary} = this.options;
 		const message = decodeMessage(datagram);
-		if (message.kind === 'summary') {
-			return onSummary(message.summary) ? this.#passOn(datagram, sender) : [];
-		}
+		const handlers: {readonly [Kind in MembershipMessage['kind']]: (message: Extract<MembershipMessage, {kind: Kind}>) => OutgoingDatagram[]} = {
+			heartbeat: ({heartbeat}) => this.#receiveHeartbeat(heartbeat, now),
+			summary: ({summary}) => this.options.onSummary(summary) ? this.#passOn(datagram, sender) : [],
+			'crash-report': ({report}) => this.options.crashReports.receive(report, sender, now),
+			'statement-reports': ({reports}) => this.options.statementReports.receive(reports, sender, now),
+		};
+		return (handlers[message.kind] as (message: MembershipMessage) => OutgoingDatagram[])(message);
+	}
 
-		if (message.kind === 'crash-report') {
-			return crashReports.receive(message.report, sender, now);
-		}
+	/** Returns the last heartbeat, which says that this process is about to end. */
+	leave(): OutgoingDatagram {
+		const {peers} = this.options;
+		return {datagram: this.#encode(true, []), targets: new Set([...peers.presentHosts(), ...peers.summaryTargets()])};
+	}
 
-		const {heartbeat} = message;
+	#receiveHeartbeat(heartbeat: Heartbeat, now: Milliseconds): OutgoingDatagram[] {
+		const {peers, onHeartbeat} = this.options;
 		onHeartbeat(heartbeat);
 		if (!peers.takeAnswer(heartbeat, now)) {
 			return [];
@@ -102,12 +113,6 @@
 		return [{datagram: this.#encode(false, hosts), targets: [heartbeat.host]}];
 	}
 
-	/** Returns the last heartbeat, which says that this process is about to end. */
-	leave(): OutgoingDatagram {
-		const {peers} = this.options;
-		return {datagram: this.#encode(true, []), targets: new Set([...peers.presentHosts(), ...peers.summaryTargets()])};
-	}
-
 	/** A summary that arrives from another zone goes to the relay of this zone, and from there to all its instances. */
 	#passOn(datagram: Uint8Array, sender: string): OutgoingDatagram[] {
 		const {peers} = this.options;
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -43,6 +43,9 @@
 		/** The peer is in another zone and is now accounted for by the summaries of that zone. */
 		| {readonly kind: 'peer-summarised'; readonly host: string};
 
+/** Changes after which a peer may lack what the others have told each other. */
+export const greetedChanges: ReadonlySet<PeerChange['kind']> = new Set(['peer-joined', 'peer-restarted', 'peer-returned'] as const);
+
 export type PeerGroupOptions = {
 	readonly ownHost: string;
 	readonly availabilityZone: string;
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -17,6 +17,7 @@
 	readonly confirmedAgeMs: Milliseconds;
 	readonly endpointConnections: number;
 	readonly quarantineEntries: number;
+	readonly leavingEndpoints: number;
 };
 
 /** Counters, gauges and histograms of one gateway process. */
@@ -54,6 +55,10 @@
 		name: 'jackdawfork_endpoint_crashes_total', help: 'Crashes of endpoints while requests of this instance with prompt parts ran there', registers: [this.#registry],
 	});
 
+	readonly #statements = new Counter({
+		name: 'jackdawfork_endpoint_statements_total', help: 'Statements of endpoints about themselves in their responses', labelNames: ['kind'], registers: [this.#registry],
+	});
+
 	readonly #waiting = new Gauge({
 		name: 'jackdawfork_waiting_requests', help: 'Requests that wait for an endpoint', labelNames: ['service'], registers: [this.#registry],
 	});
@@ -64,6 +69,7 @@
 		presentPeers: new Gauge({name: 'jackdawfork_present_peers', help: 'Other instances that are heard', registers: [this.#registry]}),
 		confirmedAgeMs: new Gauge({name: 'jackdawfork_configuration_confirmed_age_milliseconds', help: 'Age of the reading that confirmed the configuration', registers: [this.#registry]}),
 		endpointConnections: new Gauge({name: 'jackdawfork_endpoint_connections', help: 'Open connections to endpoints', registers: [this.#registry]}),
+		leavingEndpoints: new Gauge({name: 'jackdawfork_leaving_endpoints', help: 'Endpoints that have stated in a response that they leave', registers: [this.#registry]}),
 		quarantineEntries: new Gauge({name: 'jackdawfork_quarantine_entries', help: 'Prompt parts, or sets of them, whose requests are withheld because they crash endpoints', registers: [this.#registry]}),
 	} as const;
 
@@ -93,6 +99,10 @@
 		this.#crashes.inc();
 	}
 
+	recordStatement(kind: string): void {
+		this.#statements.inc({kind});
+	}
+
 	async render(values: GaugeValues): Promise<string> {
 		for (const [service, waiting] of Object.entries(values.waiting)) {
 			this.#waiting.set({service}, waiting);
--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -1,7 +1,7 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {connectResults, probeConnection} from '../../shared/probe-connection.js';
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
-import type {PeerChange, PeerGroup} from '../membership/peer-group.js';
+import {greetedChanges, type PeerChange, type PeerGroup} from '../membership/peer-group.js';
 import type {EventLog} from '../observability/event-log.js';
 import type {EndpointRecord} from '../site/types.js';
 import {CrashDetector} from './crash-detector.js';
@@ -14,9 +14,6 @@
 /** Time limit for a connection that shows whether an endpoint has crashed. */
 const probeTimeoutMs: Milliseconds = 300;
 
-/** Changes of peers after which they may lack evidence. */
-const greetedChanges = new Set<PeerChange['kind']>(['peer-joined', 'peer-restarted', 'peer-returned']);
-
 export type CrashContainmentOptions = {
 	readonly ownHost: string;
 	readonly clock: Clock;
--- a/src/gateway/quarantine/crash-report-exchange.ts
+++ b/src/gateway/quarantine/crash-report-exchange.ts
@@ -1,5 +1,7 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import {GossipExchange, maximumPacketBytes, splitBySize} from '../membership/gossip-exchange.js';
+import {
+	GossipExchange, maximumPacketBytes, selectInRotation, splitBySize,
+} from '../membership/gossip-exchange.js';
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
 import type {PeerGroup} from '../membership/peer-group.js';
 import {encodeCrashReport} from './crash-report-codec.js';
@@ -104,13 +106,12 @@
 
 	#repairItems(): Item[] {
 		const {crashes, survivals, convictions} = this.options.evidence();
-		const repaired = {crashes: this.#selectForRepair(crashes), survivals: this.#selectForRepair(survivals), convictions};
+		const repaired = {
+			crashes: selectInRotation(crashes, this.#repairedItems, itemsPerRepair),
+			survivals: selectInRotation(survivals, this.#repairedItems, itemsPerRepair),
+			convictions,
+		};
 		this.#repairedItems += itemsPerRepair;
 		return toItems(repaired);
 	}
-
-	/** Selects items in rotation, so that all are repaired in turn. */
-	#selectForRepair<RepairedItem>(items: readonly RepairedItem[]): RepairedItem[] {
-		return Array.from({length: Math.min(itemsPerRepair, items.length)}, (_, index) => items[(this.#repairedItems + index) % items.length]!);
-	}
 }
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -7,7 +7,9 @@
 	canFinish, selectByCapacity, selectEndpoint, type Candidate, type PlacementRequest,
 } from './placement.js';
 import {lateRank, DispatchRate} from './dispatch-rate.js';
-import {refusalReasons, type RefusalReason, type WaitingRequest} from './types.js';
+import {
+	refusalReasons, type EndpointRestrictions, type RefusalReason, type WaitingRequest,
+} from './types.js';
 import {WaitingQueue} from './waiting-queue.js';
 
 /** Number of requests in flight for each slot of an endpoint above which further requests wait in the queue. */
@@ -35,6 +37,7 @@
 	readonly clock: Clock;
 	readonly coldRateLimiter: ColdRateLimiter;
 	readonly availabilityZone: string;
+	readonly restrictions: EndpointRestrictions;
 	/** Requests of the peers in flight at an endpoint. */
 	readonly peerInFlightAt: (endpointId: string) => number;
 	/** Whether the requests of the peers are known so late that many instances would select the same endpoint. */
@@ -261,7 +264,7 @@
 	/** Whether no endpoint is left that the request could be dispatched to later. */
 	#hasTriedAll(request: WaitingRequest): boolean {
 		for (const {record} of this.#loads.values()) {
-			if (!record.isLeaving && !request.excluded.has(record.id)) {
+			if (!this.#isLeaving(record) && !request.excluded.has(record.id)) {
 				return false;
 			}
 		}
@@ -297,8 +300,11 @@
 
 	/** Whether an endpoint accepts new requests, apart from limits and free slots. */
 	#acceptsRequests(load: EndpointLoad, now: Milliseconds): boolean {
-		const {isLeaving, availabilityZone} = load.record;
-		return !isLeaving && !this.#evacuatedZones.has(availabilityZone) && !load.isPaused(now);
+		return !this.#isLeaving(load.record) && !this.#evacuatedZones.has(load.record.availabilityZone) && !load.isPaused(now);
+	}
+
+	#isLeaving(record: EndpointRecord): boolean {
+		return record.isLeaving || this.options.restrictions.isLeaving(record);
 	}
 
 	#canDispatchTo(load: EndpointLoad, now: Milliseconds): boolean {
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
+import type {EndpointRecord} from '../site/types.js';
 
 /** Why a request was not dispatched. It has not run. */
 export const refusalReasons = {
@@ -42,3 +43,8 @@
 	readonly dispatch: (endpointId: string, inFlight: number) => void;
 	readonly refuse: (refusal: Refusal) => void;
 };
+
+/** How endpoints restrict their use by what they have stated in responses. */
+export type EndpointRestrictions = {
+	readonly isLeaving: (endpoint: EndpointRecord) => boolean;
+};
--- /dev/null
+++ b/src/gateway/statements/statement-exchange.ts
@@ -0,0 +1,67 @@
+import type {Milliseconds} from '../../shared/clock.js';
+import {
+	GossipExchange, maximumPacketBytes, selectInRotation, splitBySize,
+} from '../membership/gossip-exchange.js';
+import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
+import type {PeerGroup} from '../membership/peer-group.js';
+import {encodeStatementReports} from './statement-report-codec.js';
+import type {EndpointStatements} from './endpoint-statements.js';
+import type {ReceivedStatementReport, StatementReport} from './types.js';
+
+/** Reports in one repair; the next one goes on after them. */
+const reportsPerRepair = 16;
+
+export type StatementExchangeOptions = {
+	readonly peers: PeerGroup;
+	readonly ownHost: string;
+	readonly statements: EndpointStatements;
+	/** Returns a random number from 0 to below 1. */
+	readonly random: () => number;
+};
+
+/** Exchanges what endpoints have stated with the other instances. */
+export class StatementExchange {
+	static create(options: StatementExchangeOptions): StatementExchange {
+		return new StatementExchange(options);
+	}
+
+	readonly #gossip: GossipExchange<StatementReport>;
+	#repairedReports = 0;
+
+	private constructor(private readonly options: StatementExchangeOptions) {
+		const {peers, ownHost, statements, random} = options;
+		this.#gossip = GossipExchange.create({
+			peers, ownHost, random,
+			allItems: () => statements.reports(),
+			repairItems: () => this.#repairItems(),
+			encode: (reports, now) => splitBySize(reports, maximumPacketBytes).map(group => encodeStatementReports(group, now)),
+		});
+	}
+
+	/** Returns what is to be sent of what this instance has heard. */
+	publish(reports: readonly StatementReport[], now: Milliseconds): OutgoingDatagram[] {
+		return this.#gossip.publish(reports, now);
+	}
+
+	/** Returns what is to be sent now. */
+	tick(now: Milliseconds): OutgoingDatagram[] {
+		return this.#gossip.tick(now);
+	}
+
+	/** Applies reports. Returns what is to be sent in response. */
+	receive(reports: readonly ReceivedStatementReport[], sender: string, now: Milliseconds): OutgoingDatagram[] {
+		const news = this.options.statements.receive(reports.map(({ageMs, ...report}) => ({...report, heardAt: now - ageMs})));
+		return this.#gossip.passOn(news, sender, now);
+	}
+
+	/** Returns all reports for an instance that has started or was out of touch. */
+	greet(host: string, now: Milliseconds): OutgoingDatagram[] {
+		return this.#gossip.greet(host, now);
+	}
+
+	#repairItems(): StatementReport[] {
+		const selected = selectInRotation(this.options.statements.reports(), this.#repairedReports, reportsPerRepair);
+		this.#repairedReports += reportsPerRepair;
+		return selected;
+	}
+}
--- a/test/gateway/endpoint-statements.test.ts
+++ b/test/gateway/endpoint-statements.test.ts
@@ -176,5 +176,5 @@
 
 	endpoint.statedHeaders = {};
 	t.like(await call(gateway), {status: 200});
-	t.true(gateway.memoryLog.linesOf('endpoint-stated').some(line => line.includes('many')));
+	t.true(gateway.memoryLog.linesOf('endpoint-statement-rejected').some(line => line.includes('many')));
 });
--- a/test/gateway/scheduling/large-fleet-load.test.ts
+++ b/test/gateway/scheduling/large-fleet-load.test.ts
@@ -3,7 +3,9 @@
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {ColdRateLimiter} from '../../../src/gateway/limits/cold-rate-limiter.js';
 import {ServiceScheduler} from '../../../src/gateway/scheduling/service-scheduler.js';
-import {bounds, createEndpoint, createService} from '../../fixtures/gateway/documents.js';
+import {
+	bounds, createEndpoint, createService, noRestrictions,
+} from '../../fixtures/gateway/documents.js';
 import {ManualClock} from '../../fixtures/manual-clock.js';
 import {createWaitingRequest} from '../../fixtures/gateway/waiting-request.js';
 import {testSeed} from '../../fixtures/seed.js';
@@ -38,6 +40,7 @@
 			clock,
 			coldRateLimiter: ColdRateLimiter.create({bounds, ownHost: 'own'}),
 			availabilityZone: 'a',
+			restrictions: noRestrictions,
 			peerInFlightAt: id => Math.max(0, (history[0]?.get(id) ?? 0) - (scheduler.loads.get(id)?.inFlight ?? 0)),
 			isPeerLoadLate: () => isPeerLoadLate,
 			members: () => ['own'],
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -2,7 +2,9 @@
 import {ColdRateLimiter} from '../../../src/gateway/limits/cold-rate-limiter.js';
 import {ServiceScheduler} from '../../../src/gateway/scheduling/service-scheduler.js';
 import type {EndpointRecord} from '../../../src/gateway/site/types.js';
-import {bounds, createEndpoint, createService} from '../../fixtures/gateway/documents.js';
+import {
+	bounds, createEndpoint, createService, noRestrictions,
+} from '../../fixtures/gateway/documents.js';
 import {createWaitingRequest, type RecordedRequest} from '../../fixtures/gateway/waiting-request.js';
 import {ManualClock} from '../../fixtures/manual-clock.js';
 
@@ -20,6 +22,7 @@
 		clock,
 		coldRateLimiter: ColdRateLimiter.create({bounds, ownHost: 'own'}),
 		availabilityZone: 'a',
+		restrictions: noRestrictions,
 		peerInFlightAt: id => peerInFlight[id] ?? 0,
 		isPeerLoadLate: () => false,
 		members: () => members,
--- /dev/null
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava';
+import {EndpointStatements} from '../../../src/gateway/statements/endpoint-statements.js';
+import type {StatementReport} from '../../../src/gateway/statements/types.js';
+import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
+import {ManualClock} from '../../fixtures/manual-clock.js';
+
+const start = {id: 'engine-1', startedAt: 7} as const;
+const nothing = {isLeaving: false, unreadable: {}} as const;
+
+function createStatements() {
+	const clock = ManualClock.create(10_000);
+	const memoryLog = MemoryLog.create(clock);
+	const news: StatementReport[] = [];
+	const statements = EndpointStatements.create({
+		ownHost: '10.0.0.1',
+		clock,
+		log: memoryLog.log,
+		onNews(reports) {
+			news.push(...reports);
+		},
+		onStatement: () => undefined,
+	});
+	return {
+		clock, memoryLog, news, statements,
+	};
+}
+
+test('an endpoint leaves from its statement on, whatever its later responses state', t => {
+	const {statements, news} = createStatements();
+	t.false(statements.isLeaving(start));
+	statements.record(start, {...nothing, isLeaving: true});
+	statements.record(start, nothing);
+	t.true(statements.isLeaving(start));
+	t.is(news.length, 1);
+});
+
+// Guards against a new process that gets no requests because the one before it, with the same id, had left.
+test('a later start of the same endpoint does not leave', t => {
+	const {statements} = createStatements();
+	statements.record(start, {...nothing, isLeaving: true});
+	t.false(statements.isLeaving({...start, startedAt: 8}));
+});
+
+test('what another instance has heard is applied once, and logged with its source and age', t => {
+	const {statements, memoryLog, news} = createStatements();
+	const report: StatementReport = {
+		...start, kind: 'leaving', heardBy: '10.0.0.2', heardAt: 9700,
+	};
+	t.deepEqual(statements.receive([report]), [report]);
+	t.deepEqual(statements.receive([report]), []);
+	t.true(statements.isLeaving(start));
+	t.deepEqual(news, []);
+	const lines = memoryLog.linesOf('endpoint-states-leaving');
+	t.is(lines.length, 1);
+	t.regex(lines[0]!, /endpoint=engine-1 .*heardBy=10\.0\.0\.2 ageMs=300/v);
+});
+
+// Guards against an endpoint whose record is missing for a while and then says that it is ready again.
+test('a statement is kept while the record of its endpoint is missing, and forgotten long after', t => {
+	const {statements, clock} = createStatements();
+	statements.record(start, {...nothing, isLeaving: true});
+	clock.advance(60_000);
+	statements.expire(() => false);
+	t.true(statements.isLeaving(start));
+	clock.advance(600_000);
+	statements.expire(() => true);
+	t.true(statements.isLeaving(start));
+	statements.expire(() => false);
+	t.false(statements.isLeaving(start));
+});
+
+test('values that can\'t be read are logged once for each header', t => {
+	const {statements, memoryLog} = createStatements();
+	for (const value of ['many', 'few']) {
+		statements.record(start, {...nothing, unreadable: {'x-limit': value}});
+	}
+
+	t.is(memoryLog.linesOf('endpoint-statement-rejected').length, 1);
+});
