Keep to the retry time with which an endpoint turns a request away

Callers saw more rejections than needed, and the endpoint went on getting requests that it did not want: only the caller of that request was told.

Change: a `Retry-After` in a 503 or 429 of the endpoint itself binds this instance and this start of the endpoint until the time is over; of several times the one that ends last counts. It is checked where an endpoint is selected and in the step that writes a request. Other instances are not told: the endpoint tells each one what it wants from it.

When no endpoint takes requests again in time for a request, it is refused at once, with the time until one does (and up to a quarter more, so that not all callers return together) as its `Retry-After`; before, it waited for as long as it could.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -393,7 +393,7 @@
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
 		const availabilityZone = this.#site.endpoints.get(endpoint.id)?.availabilityZone;
-		return this.#isServing(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
+		return this.#isServing(endpoint) && this.options.clock.now() >= this.#statements.waitsUntil(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
 
@@ -447,7 +447,10 @@
 			clock,
 			coldRateLimiter: this.#coldRateLimiter,
 			availabilityZone: settings.availabilityZone,
-			restrictions: {isLeaving: endpoint => this.#statements.isLeaving(endpoint)},
+			restrictions: {
+				isLeaving: endpoint => this.#statements.isLeaving(endpoint),
+				waitsUntil: endpoint => this.#statements.waitsUntil(endpoint),
+			},
 			peerInFlightAt: id => this.#peers.inFlightAt(id),
 			isPeerLoadLate: () => this.#peers.isZoned,
 			members: () => this.#peers.members(),
@@ -509,6 +512,7 @@
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
 			quarantineEntries: this.#containment.status().length,
+			waitingEndpoints: this.#statements.waitingCount(start => this.#isListed(start)),
 			leavingEndpoints: this.#statements.leavingCount(start => this.#isListed(start)),
 		});
 	}
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -27,6 +27,9 @@
 /** Time after which a caller may retry a request that all endpoints have rejected. */
 const rejectedRetryAfterMs: Milliseconds = 1000;
 
+/** Largest ratio by which the time until an endpoint takes requests again is extended for a refused caller, so that not all return at once. */
+const returnSpreadRatio = 0.25;
+
 /**
 Range of the fraction of a refused caller's remaining time after which it may retry. Bursts last for seconds, callers obey a retry time of at most a third of their remaining time, and the spread prevents simultaneous retries.
 */
@@ -211,7 +214,7 @@
 			const candidates = this.#candidates(request, now);
 			const selected = this.#selectEndpoint(candidates, request, now);
 			if (selected === undefined) {
-				if (candidates.length > 0) {
+				if (candidates.length > 0 || this.#refuseIfAllWait(request, now)) {
 					continue;
 				}
 
@@ -261,6 +264,24 @@
 		return false;
 	}
 
+	/** Refuses a request if no endpoint takes requests of this instance again before its latest dispatch time. Returns whether it was refused. */
+	#refuseIfAllWait(request: WaitingRequest, now: Milliseconds): boolean {
+		let availableAt = Infinity;
+		for (const {record} of this.#loads.values()) {
+			if (!this.#isLeaving(record) && !this.#evacuatedZones.has(record.availabilityZone) && !request.excluded.has(record.id)) {
+				availableAt = Math.min(availableAt, this.options.restrictions.waitsUntil(record));
+			}
+		}
+
+		if (availableAt === Infinity || availableAt <= request.latestDispatchAt) {
+			return false;
+		}
+
+		this.#queue.remove(request);
+		this.#refuse(request, refusalReasons.noEndpoint, (availableAt - now) * (1 + (returnSpreadRatio * this.options.random())));
+		return true;
+	}
+
 	/** Whether no endpoint is left that the request could be dispatched to later. */
 	#hasTriedAll(request: WaitingRequest): boolean {
 		for (const {record} of this.#loads.values()) {
@@ -300,7 +321,8 @@
 
 	/** Whether an endpoint accepts new requests, apart from limits and free slots. */
 	#acceptsRequests(load: EndpointLoad, now: Milliseconds): boolean {
-		return !this.#isLeaving(load.record) && !this.#evacuatedZones.has(load.record.availabilityZone) && !load.isPaused(now);
+		return !this.#isLeaving(load.record) && !this.#evacuatedZones.has(load.record.availabilityZone) && !load.isPaused(now)
+			&& now >= this.options.restrictions.waitsUntil(load.record);
 	}
 
 	#isLeaving(record: EndpointRecord): boolean {
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -47,4 +47,6 @@
 /** How endpoints restrict their use by what they have stated in responses. */
 export type EndpointRestrictions = {
 	readonly isLeaving: (endpoint: EndpointRecord) => boolean;
+	/** Until when it wants no requests from this instance; in the past when it takes them. */
+	readonly waitsUntil: (endpoint: EndpointRecord) => Milliseconds;
 };
--- a/src/gateway/statements/endpoint-statements.ts
+++ b/src/gateway/statements/endpoint-statements.ts
@@ -21,6 +21,8 @@
 type Entry = {
 	readonly start: EndpointStart;
 	leaving?: StatementReport;
+	/** Until when it wants no requests from this instance. */
+	waitsUntil: Milliseconds;
 	lastHeardAt: Milliseconds;
 	readonly rejectedValues: Set<string>;
 };
@@ -37,9 +39,13 @@
 	private constructor(private readonly options: EndpointStatementsOptions) {}
 
 	/** Records what an endpoint has stated in a response to this instance. */
-	record(start: EndpointStart, {isLeaving, unreadable}: EndpointStatement): void {
+	record(start: EndpointStart, {isLeaving, retryAfterMs, unreadable}: EndpointStatement): void {
 		const {ownHost, clock, onNews, onStatement} = this.options;
 		this.#logRejectedValues(start, unreadable);
+		if (retryAfterMs !== undefined) {
+			this.#recordRetryTime(start, retryAfterMs);
+		}
+
 		if (isLeaving) {
 			onStatement('leaving');
 			const {id, startedAt} = start;
@@ -67,6 +73,17 @@
 		return this.#entries.get(startKey(start))?.leaving !== undefined;
 	}
 
+	/** Until when an endpoint wants no requests from this instance. It tells each instance separately, so the others are not told. */
+	waitsUntil(start: EndpointStart): Milliseconds {
+		return this.#entries.get(startKey(start))?.waitsUntil ?? -Infinity;
+	}
+
+	/** Number of endpoints that want no requests from this instance now, of those that the site lists. */
+	waitingCount(isListed: (start: EndpointStart) => boolean): number {
+		const now = this.options.clock.now();
+		return [...this.#entries.values()].filter(({start, waitsUntil}) => now < waitsUntil && isListed(start)).length;
+	}
+
 	/** Number of starts that have stated that they leave, of those that the site lists. */
 	leavingCount(isListed: (start: EndpointStart) => boolean): number {
 		return [...this.#entries.values()].filter(({start, leaving}) => leaving !== undefined && isListed(start)).length;
@@ -75,13 +92,26 @@
 	/** Forgets what concerns endpoints that are gone. Called periodically. */
 	expire(isListed: (start: EndpointStart) => boolean): void {
 		const now = this.options.clock.now();
-		for (const [key, {start, lastHeardAt}] of this.#entries) {
-			if (now - lastHeardAt > forgottenAfterMs && !isListed(start)) {
+		for (const [key, {start, lastHeardAt, waitsUntil}] of this.#entries) {
+			if (now - lastHeardAt > forgottenAfterMs && now >= waitsUntil && !isListed(start)) {
 				this.#entries.delete(key);
 			}
 		}
 	}
 
+	/** A later, shorter time does not end an earlier one. */
+	#recordRetryTime(start: EndpointStart, retryAfterMs: Milliseconds): void {
+		const {clock, log, onStatement} = this.options;
+		onStatement('retry-after');
+		const entry = this.#entry(start);
+		const now = clock.now();
+		entry.lastHeardAt = now;
+		if (now + retryAfterMs > entry.waitsUntil) {
+			entry.waitsUntil = now + retryAfterMs;
+			log.event('endpoint-states-retry-time', {endpoint: start.id, startedAt: start.startedAt, retryAfterMs: Math.round(retryAfterMs)});
+		}
+	}
+
 	#apply(report: StatementReport): boolean {
 		const entry = this.#entry(report);
 		entry.lastHeardAt = Math.max(entry.lastHeardAt, report.heardAt);
@@ -114,7 +144,9 @@
 		const key = startKey(start);
 		let entry = this.#entries.get(key);
 		if (entry === undefined) {
-			entry = {start: {id: start.id, startedAt: start.startedAt}, lastHeardAt: this.options.clock.now(), rejectedValues: new Set()};
+			entry = {
+				start: {id: start.id, startedAt: start.startedAt}, lastHeardAt: this.options.clock.now(), waitsUntil: -Infinity, rejectedValues: new Set(),
+			};
 			this.#entries.set(key, entry);
 			const [oldestKey] = this.#entries.keys();
 			if (this.#entries.size > maximumEntries) {
--- a/test/gateway/endpoint-statements.test.ts
+++ b/test/gateway/endpoint-statements.test.ts
@@ -178,3 +178,25 @@
 	t.like(await call(gateway), {status: 200});
 	t.true(gateway.memoryLog.linesOf('endpoint-statement-rejected').some(line => line.includes('many')));
 });
+
+// Guards against callers that are held until their deadline, or told to come back too early, while no endpoint takes requests.
+test.serial('when all endpoints of a service have turned a request away with a retry time, callers are refused in time and told when to return', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const endpoints: PlatformEndpoint[] = [];
+	for (const id of ['diary-1', 'diary-2']) {
+		// eslint-disable-next-line no-await-in-loop
+		const endpoint = await site.addEndpoint({id, isEngine: false});
+		endpoint.rejectionHeaders = {'retry-after': '9.5'};
+		endpoint.faults.push('reject');
+		endpoints.push(endpoint);
+	}
+
+	const gateway = await site.addGateway();
+	t.like(await call(gateway), {status: 503});
+	const {status, headers} = await call(gateway, {headers: {'x-deadline-ms': '4000', 'x-request-id': 'refused'}});
+	t.is(status, 503);
+	t.true(Number(headers['retry-after']) > 8, `retry-after ${headers['retry-after']}`);
+	t.true(gateway.memoryLog.linesOf('request-not-started').some(line => line.includes('requestId=refused reason=no-endpoint')), 'refused before it has waited for too long');
+	t.deepEqual(endpoints.map(({receivedRequests}) => receivedRequests.length), [1, 1]);
+});
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {ColdRateLimiter} from '../../../src/gateway/limits/cold-rate-limiter.js';
 import {ServiceScheduler} from '../../../src/gateway/scheduling/service-scheduler.js';
+import type {EndpointRestrictions} from '../../../src/gateway/scheduling/types.js';
 import type {EndpointRecord} from '../../../src/gateway/site/types.js';
 import {
 	bounds, createEndpoint, createService, noRestrictions,
@@ -13,16 +14,17 @@
 	readonly peerInFlight?: Readonly<Record<string, number>>;
 	readonly members?: readonly string[];
 	readonly knowsMembers?: boolean;
+	readonly restrictions?: Partial<EndpointRestrictions>;
 };
 
-function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true}: Options = {}) {
+function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions}: Options = {}) {
 	const clock = ManualClock.create(10_000);
 	const scheduler = ServiceScheduler.create({
 		service: createService(),
 		clock,
 		coldRateLimiter: ColdRateLimiter.create({bounds, ownHost: 'own'}),
 		availabilityZone: 'a',
-		restrictions: noRestrictions,
+		restrictions: {...noRestrictions, ...restrictions},
 		peerInFlightAt: id => peerInFlight[id] ?? 0,
 		isPeerLoadLate: () => false,
 		members: () => members,
@@ -254,3 +256,41 @@
 	scheduler.submit(waiting);
 	t.is(waiting.refusals[0]?.retryAfterMs, 2650);
 });
+
+test('a request goes to an endpoint that takes requests while another one wants none', t => {
+	const {clock, scheduler} = createScheduler({
+		records: [createEndpoint(), createEndpoint({id: 'engine-2'})],
+		restrictions: {waitsUntil: ({id}) => id === 'engine-1' ? 60_000 : -Infinity},
+	});
+	const requests = [0, 1, 2].map(() => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	t.deepEqual(requests.flatMap(({dispatchedTo}) => dispatchedTo), ['engine-2', 'engine-2', 'engine-2']);
+});
+
+// Guards against callers that wait in vain until their deadline, or are told to come back while no endpoint takes requests.
+test('a request is refused at once when all endpoints want none for longer than it can wait, and its caller may return when one does again', t => {
+	const {clock, scheduler} = createScheduler({
+		records: [createEndpoint(), createEndpoint({id: 'engine-2'})],
+		restrictions: {waitsUntil: ({id}) => id === 'engine-1' ? 60_000 : 40_000},
+	});
+	const waiting = request(clock);
+	scheduler.submit(waiting);
+	t.is(waiting.refusals.length, 1);
+	const {reason, retryAfterMs} = waiting.refusals[0]!;
+	t.is(reason, 'no-endpoint');
+	t.true(retryAfterMs >= 30_000 && retryAfterMs <= 37_500, `${retryAfterMs} ms`);
+});
+
+test('a request waits for an endpoint that takes requests again in time', t => {
+	const until = 10_200;
+	const {clock, scheduler} = createScheduler({restrictions: {waitsUntil: () => until}});
+	const waiting = request(clock);
+	scheduler.submit(waiting);
+	t.deepEqual([waiting.refusals, waiting.dispatchedTo], [[], []]);
+	clock.advance(200);
+	scheduler.dispatchWaiting();
+	t.deepEqual(waiting.dispatchedTo, ['engine-1']);
+});
--- a/test/gateway/statements/endpoint-statements.test.ts
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -77,3 +77,19 @@
 
 	t.is(memoryLog.linesOf('endpoint-statement-rejected').length, 1);
 });
+
+// Guards against an endpoint that gets requests again because a later response asked for a shorter time.
+test('of several retry times the one that ends last counts', t => {
+	const {statements, clock, news, memoryLog} = createStatements();
+	t.is(statements.waitsUntil(start), -Infinity);
+	statements.record(start, {...nothing, retryAfterMs: 4000});
+	clock.advance(1000);
+	statements.record(start, {...nothing, retryAfterMs: 500});
+	statements.record(start, nothing);
+	t.is(statements.waitsUntil(start), 14_000);
+	t.is(statements.waitsUntil({...start, startedAt: 8}), -Infinity);
+	t.deepEqual(news, [], 'other instances have no part in it');
+	t.is(memoryLog.linesOf('endpoint-states-retry-time').length, 1);
+	statements.record(start, {...nothing, retryAfterMs: 0});
+	t.is(statements.waitsUntil(start), 14_000);
+});
