Share the limit that an endpoint names among all instances by permits

Callers saw nothing.

Change: one instance, the arbiter, gives permits for an endpoint at the rate of its limit: of the instances that are heard the one with the lowest hash, in a large fleet the relay of one zone. Whoever has a request for a limited endpoint with a free slot asks for one; permits go to those that ask, in order of arrival, so uneven callers get what they need. Requests go elsewhere meanwhile, and don't wait for a limited endpoint. A limit of 0 gets one request in 4 s that finds out whether it still holds.

The limit belongs to one start of the endpoint, the report that was heard last counts, the others are told of changes at once, and it ends with a response without it to a request that was sent 500 ms after the last one with it: responses arrive out of order.

Ruled out: shares by member count (above); the bucket of the workspace quotas, which all instances keep and which lets each send once before it hears of the others.

Log: `endpoint-states-limit`, `endpoint-limit-ended`, and limit, age and source in `request-dispatched`; metric `jackdawfork_limited_endpoints`.

--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -187,6 +187,7 @@
 		}
 
 		this.#sendCount++;
+		const limit = context.findLimit(endpoint);
 		context.log.event('request-dispatched', {
 			requestId: this.requestId,
 			route: request.route.name,
@@ -200,6 +201,9 @@
 			version: request.configurationVersion,
 			promptParts: request.promptParts.length === 0 ? undefined : request.promptParts.slice(0, maximumLoggedParts).join(','),
 			afterEvent: this.#lastEventId,
+			limitPerSecond: limit?.perSecond,
+			limitAgeMs: limit === undefined ? undefined : Math.round(now - limit.heardAt),
+			limitHeardBy: limit?.heardBy,
 		});
 		this.#send(attempt, endpoint);
 	}
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -8,6 +8,7 @@
 import type {AttemptOutcome} from '../scheduling/endpoint-load.js';
 import type {ServiceScheduler} from '../scheduling/service-scheduler.js';
 import type {EndpointRecord, Route} from '../site/types.js';
+import type {LimitStatement} from '../statements/types.js';
 import type {EndpointConnection} from './endpoint-connection-pool.js';
 
 /** The response to the caller. */
@@ -61,6 +62,8 @@
 	readonly memberCount: () => number;
 	/** Age of the store read that confirmed the configuration and the endpoints. */
 	readonly confirmedAgeMs: () => Milliseconds | undefined;
+	/** The requests a second that an endpoint takes from all instances together, if it limits them. */
+	readonly findLimit: (endpoint: EndpointRecord) => LimitStatement | undefined;
 	readonly findEndpoint: (id: string) => EndpointRecord | undefined;
 	readonly acquireConnection: (endpoint: EndpointRecord, isRetryable: boolean) => EndpointConnection;
 	/** Whether the request may still be sent to the endpoint. */
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -22,6 +22,7 @@
 import {GatewayMetrics} from './observability/gateway-metrics.js';
 import {MonitoringServer, type MonitoringHandler} from './observability/monitoring-server.js';
 import {siteChangeFields} from './observability/site-change-fields.js';
+import {PermitExchange} from './permits/permit-exchange.js';
 import type {Protocol} from './protocol.js';
 import {ServiceScheduler} from './scheduling/service-scheduler.js';
 import {ServiceSchedulers} from './scheduling/service-schedulers.js';
@@ -96,6 +97,7 @@
 	readonly #containment: CrashContainment;
 	readonly #statements: EndpointStatements;
 	readonly #statementReports: StatementExchange;
+	readonly #permits: PermitExchange;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
 	readonly #startedAt: Milliseconds;
@@ -150,6 +152,18 @@
 		this.#statementReports = StatementExchange.create({
 			peers: this.#peers, ownHost: settings.host, statements: this.#statements, random: Math.random,
 		});
+		this.#permits = PermitExchange.create({
+			ownHost: settings.host,
+			peers: this.#peers,
+			statements: this.#statements,
+			now: () => clock.now(),
+			send: outgoing => {
+				this.#heartbeats.send(outgoing);
+			},
+			onGranted: () => {
+				this.#schedulers.dispatchWaiting();
+			},
+		});
 		this.#admission = Admission.create({
 			site: this.#site,
 			freshness: this.#freshness,
@@ -200,6 +214,7 @@
 			},
 			crashReports: this.#containment.exchange,
 			statementReports: this.#statementReports,
+			permits: this.#permits,
 			onSummary: summary => this.#peerAccounting.receiveSummary(summary, clock.now()),
 		});
 		this.#heartbeats = HeartbeatTask.create({
@@ -354,12 +369,13 @@
 			retryBudgets: this.#retryBudgets,
 			memberCount: () => this.#peers.isZoned && !this.#peers.knowsMembers(clock.now()) ? Infinity : this.#peers.memberCount,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
+			findLimit: endpoint => this.#statements.findLimit(endpoint),
 			findEndpoint: id => this.#site.endpoints.get(id),
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
 			maySend: endpoint => this.#maySend(freshnessArrivedAt, endpoint),
 			containment: this.#containment,
-			recordStatement: (endpoint, statement) => {
-				this.#statements.record(endpoint, statement);
+			recordStatement: (endpoint, statement, sentAt) => {
+				this.#statements.record(endpoint, statement, sentAt);
 			},
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
@@ -450,6 +466,11 @@
 			restrictions: {
 				isLeaving: endpoint => this.#statements.isLeaving(endpoint),
 				waitsUntil: endpoint => this.#statements.waitsUntil(endpoint),
+				isLimited: endpoint => this.#statements.findLimit(endpoint) !== undefined,
+				hasPermit: endpoint => this.#permits.has(endpoint),
+				takePermit: endpoint => {
+					this.#permits.take(endpoint);
+				},
 			},
 			peerInFlightAt: id => this.#peers.inFlightAt(id),
 			isPeerLoadLate: () => this.#peers.isZoned,
@@ -469,6 +490,7 @@
 			});
 		}
 
+		this.#heartbeats.send(this.#permits.tick());
 		this.#schedulers.dispatchWaiting();
 		this.#connectionPools.closeIdleConnections();
 
@@ -513,6 +535,7 @@
 			endpointConnections: this.#connectionPools.size,
 			quarantineEntries: this.#containment.status().length,
 			waitingEndpoints: this.#statements.waitingCount(start => this.#isListed(start)),
+			limitedEndpoints: this.#statements.limitedStarts().filter(start => this.#isListed(start)).length,
 			leavingEndpoints: this.#statements.leavingCount(start => this.#isListed(start)),
 		});
 	}
--- a/src/gateway/membership/heartbeat-codec.ts
+++ b/src/gateway/membership/heartbeat-codec.ts
@@ -1,6 +1,10 @@
 import {pack, unpack} from 'msgpackr';
 import * as z from 'zod';
 import {crashReportFormatVersion, crashReportFrom} from '../quarantine/crash-report-codec.js';
+import {
+	permitGrantFormatVersion, permitGrantFrom, permitRequestFormatVersion, permitRequestFrom,
+} from '../permits/permit-codec.js';
+import type {PermitGrant, ReceivedPermitRequest} from '../permits/types.js';
 import type {CrashReport} from '../quarantine/types.js';
 import {statementReportFormatVersion, statementReportsFrom} from '../statements/statement-report-codec.js';
 import type {ReceivedStatementReport} from '../statements/types.js';
@@ -70,7 +74,9 @@
 	= | {readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat}
 		| {readonly kind: 'summary'; readonly summary: ZoneSummary}
 		| {readonly kind: 'crash-report'; readonly report: CrashReport}
-		| {readonly kind: 'statement-reports'; readonly reports: readonly ReceivedStatementReport[]};
+		| {readonly kind: 'statement-reports'; readonly reports: readonly ReceivedStatementReport[]}
+		| {readonly kind: 'permit-request'; readonly request: ReceivedPermitRequest}
+		| {readonly kind: 'permit-grant'; readonly grant: PermitGrant};
 
 function summaryFrom(content: unknown): ZoneSummary {
 	const [, availabilityZone, relayHost, relayIncarnation, sequence, hosts, otherRelays, inFlight, usage] = summarySchema.parse(content);
@@ -91,6 +97,8 @@
 	[summaryFormatVersion, content => ({kind: 'summary', summary: summaryFrom(content)})],
 	[crashReportFormatVersion, content => ({kind: 'crash-report', report: crashReportFrom(content)})],
 	[statementReportFormatVersion, content => ({kind: 'statement-reports', reports: statementReportsFrom(content)})],
+	[permitRequestFormatVersion, content => ({kind: 'permit-request', request: permitRequestFrom(content)})],
+	[permitGrantFormatVersion, content => ({kind: 'permit-grant', grant: permitGrantFrom(content)})],
 ]);
 
 /**
--- a/src/gateway/membership/heartbeat-exchange.ts
+++ b/src/gateway/membership/heartbeat-exchange.ts
@@ -1,4 +1,6 @@
 import type {Milliseconds} from '../../shared/clock.js';
+import type {PermitExchange} from '../permits/permit-exchange.js';
+import type {PermitGrant} from '../permits/types.js';
 import type {CrashReportExchange} from '../quarantine/crash-report-exchange.js';
 import type {StatementExchange} from '../statements/statement-exchange.js';
 import {
@@ -34,6 +36,7 @@
 	readonly onHeartbeat: (heartbeat: Heartbeat) => void;
 	readonly crashReports: CrashReportExchange;
 	readonly statementReports: StatementExchange;
+	readonly permits: PermitExchange;
 	/** Returns whether the summary is new. */
 	readonly onSummary: (summary: ZoneSummary) => boolean;
 };
@@ -92,6 +95,8 @@
 			summary: ({summary}) => this.options.onSummary(summary) ? this.#passOn(datagram, sender) : [],
 			'crash-report': ({report}) => this.options.crashReports.receive(report, sender, now),
 			'statement-reports': ({reports}) => this.options.statementReports.receive(reports, sender, now),
+			'permit-request': ({request}) => this.options.permits.receiveRequest(request, sender),
+			'permit-grant': ({grant}) => this.#receiveGrant(grant),
 		};
 		return (handlers[message.kind] as (message: MembershipMessage) => OutgoingDatagram[])(message);
 	}
@@ -113,6 +118,11 @@
 		return [{datagram: this.#encode(false, hosts), targets: [heartbeat.host]}];
 	}
 
+	#receiveGrant(grant: PermitGrant): OutgoingDatagram[] {
+		this.options.permits.receiveGrant(grant);
+		return [];
+	}
+
 	/** A summary that arrives from another zone goes to the relay of this zone, and from there to all its instances. */
 	#passOn(datagram: Uint8Array, sender: string): OutgoingDatagram[] {
 		const {peers} = this.options;
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -26,6 +26,9 @@
 const largeFleetKnownAfterMs: Milliseconds = 6000;
 const membersSettledAfterMs: Milliseconds = 1000;
 
+/** Time for which a process must have been heard to decide on behalf of all, so that those that decide and those that ask agree on it. */
+const arbiterHeardMs: Milliseconds = 2000;
+
 /** Interval at which a zoned instance sends heartbeats to the seeds, which may be in any zone: the longer one once it has found peers of its zone. */
 const discoveryIntervalMs: Milliseconds = 2000;
 const settledDiscoveryIntervalMs: Milliseconds = 10_000;
@@ -53,6 +56,20 @@
 	readonly startedAt: Milliseconds;
 };
 
+/** Returns the name with the lowest hash of the key and the name. */
+function selectByHash(key: string, [first, ...others]: readonly string[]): string {
+	let selected = first!;
+	let lowestHash = hashText(`${key} ${selected}`);
+	for (const name of others) {
+		const hash = hashText(`${key} ${name}`);
+		if (hash < lowestHash) {
+			[selected, lowestHash] = [name, hash];
+		}
+	}
+
+	return selected;
+}
+
 /** The other instances, as known from their heartbeats. */
 export class PeerGroup {
 	static create({ownHost, availabilityZone, startedAt}: PeerGroupOptions): PeerGroup {
@@ -119,6 +136,28 @@
 		return relayHost;
 	}
 
+	/**
+	Finds the instance that decides about something on behalf of all: of those that are heard, the one with the lowest hash of its host and the key. In a large fleet it is the relay of a zone, because of other zones only the relays are known to run.
+	*/
+	findArbiter(key: string, now: Milliseconds): string {
+		if (this.#isZoned) {
+			const zones = new Map([...this.#remoteZones.relays(), [this.availabilityZone, this.relayHost]]);
+			return zones.get(selectByHash(key, [...zones.keys()]))!;
+		}
+
+		const settled = [...this.#peers.values()].filter(({host, heardSince}) => !this.#silent.has(host) && now - heardSince >= arbiterHeardMs).map(({host}) => host);
+		if (now - this.startedAt >= arbiterHeardMs) {
+			settled.push(this.ownHost);
+		}
+
+		return selectByHash(key, settled.length > 0 ? settled : [...this.presentHosts(), this.ownHost]);
+	}
+
+	/** Instances that are heard, in a large fleet those of zones that are heard, as a fraction of the members. */
+	presentRatio(): number {
+		return (this.presentHosts().length + 1 + this.#remoteZones.heardHostCount()) / this.memberCount;
+	}
+
 	setSeedHosts(hosts: readonly string[]): void {
 		this.#seedHosts = hosts.filter(host => host !== this.ownHost);
 	}
@@ -152,6 +191,7 @@
 			availabilityZone: heartbeat.availabilityZone,
 			incarnation: heartbeat.incarnation,
 			sequence: heartbeat.sequence,
+			heardSince: known?.incarnation === heartbeat.incarnation ? known.heardSince : now,
 			lastHeardAt: now,
 			inFlight: heartbeat.inFlight,
 		};
--- a/src/gateway/membership/remote-zones.ts
+++ b/src/gateway/membership/remote-zones.ts
@@ -66,6 +66,11 @@
 		return [...this.#zones].flatMap(([name, {summary}]) => summary === undefined ? [] : [[name, summary.relayHost] as const]);
 	}
 
+	/** Number of hosts in the zones from which summaries were received lately. */
+	heardHostCount(): number {
+		return [...this.#zones.values()].reduce((count, {summary, hosts}) => count + (summary === undefined ? 0 : hosts.size), 0);
+	}
+
 	/** Records an instance of a zone of which none is known. It is forgotten unless it is heard. */
 	recordRelay(availabilityZone: string, host: string, now: Milliseconds): void {
 		if (this.#zones.get(availabilityZone) === undefined) {
--- a/src/gateway/membership/types.ts
+++ b/src/gateway/membership/types.ts
@@ -48,6 +48,8 @@
 	readonly availabilityZone: string;
 	readonly incarnation: number;
 	readonly sequence: number;
+	/** When its process was first heard. */
+	readonly heardSince: Milliseconds;
 	readonly lastHeardAt: Milliseconds;
 	readonly inFlight: readonly EndpointInFlight[];
 };
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -232,7 +232,12 @@
 
 			this.#dispatchRate.recordDispatch(this.#queue.isLate(request) ? lateRank : request.tier, now);
 			this.#queue.remove(request);
-			this.#loads.get(selected.endpointId)!.recordDispatch();
+			const load = this.#loads.get(selected.endpointId)!;
+			load.recordDispatch();
+			if (this.options.restrictions.isLimited(load.record)) {
+				this.options.restrictions.takePermit(load.record);
+			}
+
 			this.options.coldRateLimiter.recordRequest(selected.endpointId, now);
 			request.dispatch(selected.endpointId, selected.inFlight);
 		}
@@ -253,10 +258,10 @@
 		return this.options.isPeerLoadLate() ? selectByCapacity(candidates, request, this.options.random()) : selectEndpoint(candidates, request);
 	}
 
-	/** Whether any endpoint, including those without a free slot, could complete a request in time. */
+	/** Whether any endpoint, including those without a free slot, could complete a request in time. Requests don't wait for permission of a limited one. */
 	#canAnyFinish(request: PlacementRequest, excluded: ReadonlySet<string>, now: Milliseconds): boolean {
 		for (const load of this.#loads.values()) {
-			if (!excluded.has(load.record.id) && this.#acceptsRequests(load, now) && !load.isFailing && canFinish(request, load.eventIntervalMs)) {
+			if (!excluded.has(load.record.id) && this.#acceptsRequests(load, now) && !load.isFailing && !this.options.restrictions.isLimited(load.record) && canFinish(request, load.eventIntervalMs)) {
 				return true;
 			}
 		}
@@ -304,7 +309,7 @@
 			}
 
 			const inFlight = load.inFlight + this.options.peerInFlightAt(record.id);
-			if (inFlight < record.slots * maximumPerSlot) {
+			if (inFlight < record.slots * maximumPerSlot && this.#isPermitted(record)) {
 				candidates.push({
 					endpointId: record.id,
 					slots: record.slots,
@@ -319,6 +324,11 @@
 		return candidates;
 	}
 
+	#isPermitted(record: EndpointRecord): boolean {
+		const {isLimited, hasPermit} = this.options.restrictions;
+		return !isLimited(record) || hasPermit(record);
+	}
+
 	/** Whether an endpoint accepts new requests, apart from limits and free slots. */
 	#acceptsRequests(load: EndpointLoad, now: Milliseconds): boolean {
 		return !this.#isLeaving(load.record) && !this.#evacuatedZones.has(load.record.availabilityZone) && !load.isPaused(now)
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -294,3 +294,54 @@
 	scheduler.dispatchWaiting();
 	t.deepEqual(waiting.dispatchedTo, ['engine-1']);
 });
+
+test('a limited endpoint gets a request for each permit, and the other requests go to the others', t => {
+	let permits = 1;
+	const {clock, scheduler} = createScheduler({
+		records: [createEndpoint({slots: 8}), createEndpoint({id: 'engine-2', slots: 2})],
+		restrictions: {
+			isLimited: ({id}) => id === 'engine-1',
+			hasPermit: () => permits > 0,
+			takePermit() {
+				permits--;
+			},
+		},
+	});
+	const requests = [0, 1, 2, 3].map(() => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	t.deepEqual(requests.flatMap(({dispatchedTo}) => dispatchedTo).toSorted(), ['engine-1', 'engine-2', 'engine-2']);
+	permits = 1;
+	scheduler.dispatchWaiting();
+	t.deepEqual(requests.at(-1)!.dispatchedTo, ['engine-1']);
+	t.is(permits, 0);
+});
+
+// Guards against requests that are held back from slow endpoints for a fast one that may not get them.
+test('a request does not wait for a limited endpoint, even if only that one could complete it in time', t => {
+	const {clock, scheduler} = createScheduler({
+		records: [createEndpoint(), createEndpoint({id: 'engine-2'})],
+		restrictions: {isLimited: ({id}) => id === 'engine-1'},
+	});
+	const long = request(clock, {expectedOutputTokens: 1_000_000});
+	scheduler.submit(long);
+	t.deepEqual(long.dispatchedTo, ['engine-2']);
+});
+
+test('no permission is asked for an endpoint without a free slot', t => {
+	let asked = 0;
+	const {clock, scheduler} = createScheduler({
+		peerInFlight: {'engine-1': 4},
+		restrictions: {
+			isLimited: () => true,
+			hasPermit() {
+				asked++;
+				return false;
+			},
+		},
+	});
+	scheduler.submit(request(clock));
+	t.is(asked, 0);
+});
--- a/test/gateway/statements/endpoint-statements.test.ts
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -26,18 +26,18 @@
 }
 
 test('an endpoint leaves from its statement on, whatever its later responses state', t => {
-	const {statements, news} = createStatements();
+	const {clock, statements, news} = createStatements();
 	t.false(statements.isLeaving(start));
-	statements.record(start, {...nothing, isLeaving: true});
-	statements.record(start, nothing);
+	statements.record(start, {...nothing, isLeaving: true}, clock.now());
+	statements.record(start, nothing, clock.now());
 	t.true(statements.isLeaving(start));
 	t.is(news.length, 1);
 });
 
 // Guards against a new process that gets no requests because the one before it, with the same id, had left.
 test('a later start of the same endpoint does not leave', t => {
-	const {statements} = createStatements();
-	statements.record(start, {...nothing, isLeaving: true});
+	const {clock, statements} = createStatements();
+	statements.record(start, {...nothing, isLeaving: true}, clock.now());
 	t.false(statements.isLeaving({...start, startedAt: 8}));
 });
 
@@ -58,7 +58,7 @@
 // Guards against an endpoint whose record is missing for a while and then says that it is ready again.
 test('a statement is kept while the record of its endpoint is missing, and forgotten long after', t => {
 	const {statements, clock} = createStatements();
-	statements.record(start, {...nothing, isLeaving: true});
+	statements.record(start, {...nothing, isLeaving: true}, clock.now());
 	clock.advance(60_000);
 	statements.expire(() => false);
 	t.true(statements.isLeaving(start));
@@ -70,9 +70,9 @@
 });
 
 test('values that can\'t be read are logged once for each header', t => {
-	const {statements, memoryLog} = createStatements();
+	const {clock, statements, memoryLog} = createStatements();
 	for (const value of ['many', 'few']) {
-		statements.record(start, {...nothing, unreadable: {'x-limit': value}});
+		statements.record(start, {...nothing, unreadable: {'x-limit': value}}, clock.now());
 	}
 
 	t.is(memoryLog.linesOf('endpoint-statement-rejected').length, 1);
@@ -82,14 +82,14 @@
 test('of several retry times the one that ends last counts', t => {
 	const {statements, clock, news, memoryLog} = createStatements();
 	t.is(statements.waitsUntil(start), -Infinity);
-	statements.record(start, {...nothing, retryAfterMs: 4000});
+	statements.record(start, {...nothing, retryAfterMs: 4000}, clock.now());
 	clock.advance(1000);
-	statements.record(start, {...nothing, retryAfterMs: 500});
-	statements.record(start, nothing);
+	statements.record(start, {...nothing, retryAfterMs: 500}, clock.now());
+	statements.record(start, nothing, clock.now());
 	t.is(statements.waitsUntil(start), 14_000);
 	t.is(statements.waitsUntil({...start, startedAt: 8}), -Infinity);
 	t.deepEqual(news, [], 'other instances have no part in it');
 	t.is(memoryLog.linesOf('endpoint-states-retry-time').length, 1);
-	statements.record(start, {...nothing, retryAfterMs: 0});
+	statements.record(start, {...nothing, retryAfterMs: 0}, clock.now());
 	t.is(statements.waitsUntil(start), 14_000);
 });
--- a/test/gateway/statements/statement-group.test.ts
+++ b/test/gateway/statements/statement-group.test.ts
@@ -22,7 +22,7 @@
 		const group = MembershipGroup.create(count, zones, createRandom());
 		group.advance(9000);
 		group.lossRatio = lossRatio;
-		[...group.members.values()].at(-1)!.statements.record(endpoint, statesLeaving);
+		[...group.members.values()].at(-1)!.statements.record(endpoint, statesLeaving, group.now);
 		group.advance(contactMs);
 		t.deepEqual(uninformedHosts(group), []);
 	});
@@ -33,7 +33,7 @@
 	group.advance(9000);
 	group.cutZones.add('zone-1');
 	group.advance(500);
-	group.members.get('10.0.0.1')!.statements.record(endpoint, statesLeaving);
+	group.members.get('10.0.0.1')!.statements.record(endpoint, statesLeaving, group.now);
 	group.advance(6000);
 	t.is(uninformedHosts(group).length, 16);
 	group.cutZones.clear();
