--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -73,11 +73,16 @@
 	}
 
 	put(key: string, value: unknown): void {
+		this.putText(key, JSON.stringify(value));
+	}
+
+	/** Writes a value that need not be JSON, as another writer might. */
+	putText(key: string, text: string): void {
 		this.#revision++;
 		const createRevision = this.#items.get(key)?.create_rev ?? this.#revision;
 		this.#items.set(key, {
 			key,
-			value: Buffer.from(JSON.stringify(value)).toString('base64'),
+			value: Buffer.from(text).toString('base64'),
 			revision: this.#revision,
 			create_rev: createRevision, // eslint-disable-line @typescript-eslint/naming-convention
 			lease: 0,
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -70,6 +70,16 @@
 	['an address without a port', {...endpoint, address: '10.0.0.1'}],
 	['slots of another type', {...endpoint, slots: '17'}],
 	['text that is not JSON', '{"service":'],
+	['port 0', {...endpoint, address: '10.0.0.1:0'}],
+	['a port out of range', {...endpoint, address: '10.0.0.1:99999'}],
+	['a host out of range', {...endpoint, address: '10.0.0.300:80'}],
+	['a cold time beyond all numbers', {...endpoint, cold_remaining_ms: 1e308}], // eslint-disable-line @typescript-eslint/naming-convention
+	['a cold time of years', {...endpoint, cold_remaining_ms: 1e12}], // eslint-disable-line @typescript-eslint/naming-convention
+	['more slots than any endpoint has', {...endpoint, slots: 1e15}],
+	['a start beyond all times', {...endpoint, born: 1e300}],
+	['a number that becomes infinite', JSON.stringify(endpoint).replace('"slots":17', '"slots":1e999')],
+	['a value that is nested very deeply', `{"service":${'['.repeat(200_000)}${']'.repeat(200_000)}}`],
+	['a field that is nested very deeply', JSON.stringify(endpoint).replace('"state"', `"state":${'{"a":'.repeat(100_000)}1${'}'.repeat(100_000)},"x"`)],
 ];
 
 for (const [defect, value] of invalidEndpoints) {
@@ -110,3 +120,17 @@
 	t.is(decoded, undefined);
 	t.is(rejected[0]?.key, 'op/config');
 });
+
+// Guards against requests that fail because an endpoint has an id that no header can hold.
+for (const id of ['with a space', 'line\r\nbreak', 'ümlaut', '', 'x'.repeat(300)]) {
+	test(`a record with the id ${JSON.stringify(id.slice(0, 12))} of ${id.length} characters is rejected`, t => {
+		const {endpoints, rejected} = SnapshotDecoder.create().decode([{key: `servers/${id}`, value: encodeValue(endpoint), revision: 2}], 9);
+		t.deepEqual(endpoints, []);
+		t.is(rejected.length, 1);
+	});
+}
+
+test('a sound record with a deeply nested field that is not known holds', t => {
+	const text = JSON.stringify(endpoint).replace('"later_field":true', `"later_field":${'['.repeat(200_000)}${']'.repeat(200_000)}`);
+	t.is(decodeEndpoint('i-1', text).slots, 17);
+});
