End the attempt when an unexpected error occurs while a request is being sent

Callers of such requests waited until their own deadline, and the place of the request at the endpoint was never given back: an exception between the selection of an endpoint and the write (seen with an address that is no URL) left the dispatch loop, and nothing ended the attempt. It now counts as an endpoint that can't be reached (or as broken, if the request was written), so the request goes elsewhere.

The same elsewhere: a heartbeat that could not be created ended all heartbeats of the instance; an error in one request's check kept all later ones from ending at their deadline in each round. Both go on now and log the error.

--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -1,4 +1,5 @@
 import {errors, type Dispatcher} from 'undici';
+import {toError} from '../../shared/describe-error.js';
 import type {EndpointConnection} from './endpoint-connection-pool.js';
 
 export type ResponseHead = {
@@ -47,9 +48,14 @@
 	static start(options: ExchangeOptions): Exchange {
 		const exchange = new Exchange(options);
 		const {connection, method, path, headers, body} = options;
-		connection.client.dispatch({
-			method, path, headers, body,
-		}, exchange);
+		try {
+			connection.client.dispatch({
+				method, path, headers, body,
+			}, exchange);
+		} catch (error) {
+			exchange.onResponseError(undefined, toError(error));
+		}
+
 		return exchange;
 	}
 
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import {describeError} from '../../shared/describe-error.js';
+import {describeError, toError} from '../../shared/describe-error.js';
 import type {GatewayFailure} from '../callers/failures.js';
 import {attemptOutcomes, type AttemptOutcome} from '../scheduling/endpoint-load.js';
 import {maximumWaitMs, streamTimeoutMs} from '../scheduling/maximum-wait.js';
@@ -205,7 +205,12 @@
 			limitAgeMs: limit === undefined ? undefined : Math.round(now - limit.heardAt),
 			limitHeardBy: limit?.heardBy,
 		});
-		this.#send(attempt, endpoint);
+		try {
+			this.#send(attempt, endpoint);
+		} catch (error) {
+			// Nothing else ends the attempt, and the scheduler goes on with other requests.
+			this.#onAttemptEnd(attempt, {kind: this.#possiblyRunBy.has(endpointId) ? 'broken' : 'unreachable', error: toError(error)});
+		}
 	}
 
 	#send(attempt: Attempt, endpoint: EndpointRecord): void {
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,6 +1,7 @@
 import {randomInt} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock, Milliseconds} from '../shared/clock.js';
+import {describeError} from '../shared/describe-error.js';
 import {DisposableStore} from '../shared/disposable-store.js';
 import {Admission} from './callers/admission.js';
 import {CallerServer, type ReceivedRequest} from './callers/caller-server.js';
@@ -129,9 +130,9 @@
 				this.#heartbeats.send(outgoing);
 			},
 			onQuarantined: () => {
-				for (const task of this.#tasks) {
+				this.#forEachTask(task => {
 					task.withholdIfQuarantined();
-				}
+				});
 			},
 			onCrash: () => {
 				this.#metrics.recordCrash();
@@ -503,13 +504,24 @@
 
 	/** Ends what has had no response in time, and takes endpoints that have not crashed for sound. */
 	#judgeByAbsence(now: Milliseconds): void {
-		for (const task of this.#tasks) {
+		this.#forEachTask(task => {
 			task.enforceTimeouts(now);
-		}
+		});
 
 		this.#containment.confirmSurvivals();
 	}
 
+	/** An unexpected error of one request must not keep the others from being checked. */
+	#forEachTask(callback: (task: ForwardTask) => void): void {
+		for (const task of this.#tasks) {
+			try {
+				callback(task);
+			} catch (error) {
+				this.options.log.event('request-error', {requestId: task.requestId, reason: describeError(error)});
+			}
+		}
+	}
+
 	#confirmedAgeMs(): number | undefined {
 		const {confirmedAt} = this.#site;
 		return confirmedAt === undefined ? undefined : Math.round(this.options.freshnessClock.now() - confirmedAt);
--- a/src/gateway/membership/heartbeat-task.ts
+++ b/src/gateway/membership/heartbeat-task.ts
@@ -81,9 +81,14 @@
 	}
 
 	#tick(): void {
-		const {clock, exchange, onTick} = this.options;
-		onTick();
-		this.send(exchange.tick(clock.now()));
+		const {clock, exchange, log, onTick} = this.options;
+		try {
+			onTick();
+			this.send(exchange.tick(clock.now()));
+		} catch (error) {
+			log.event('beat-failed', {reason: describeError(error)});
+		}
+
 		this.#timer = setTimeout(() => {
 			this.#tick();
 		}, exchange.intervalMs);
