Continue a started stream only with a stream of events

Callers would find an error's text in the middle of their stream, or a stream that ends as if it were whole (reported by other operators): a started stream breaks off, and the next endpoint answers with a status below 300 and something else than events. A text with an empty line in it was forwarded as events; a bare head ended the stream as complete. Errors with other statuses were handled before.

Change: the response that continues a stream must say that it is a stream of events; otherwise the attempt has failed, and the stream goes on at a further endpoint or is broken off.

Not covered, as an existing test expects it to be whole: a stream of events without a length that ends with its connection before any event. It can't be told from one that has no further events.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -178,8 +178,8 @@
 		} else if (!isOwn || !metadata.isSealed || metadata.hasContentEncoding) {
 			this.#kind = responseKinds.foreign;
 		} else {
-			// The caller of a continued stream has already received its head, so only a stream can follow.
-			this.#kind = head.status >= 500 || (isContinuation && !this.isStream) ? responseKinds.failed : responseKinds.relay;
+			// The caller of a continued stream has already received its head, so only events can follow.
+			this.#kind = head.status >= 500 || (isContinuation && !(this.isStream && this.#isEventStream)) ? responseKinds.failed : responseKinds.relay;
 		}
 
 		return isOwn ? undefined : metadata.requestId;
