--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -68,10 +68,16 @@
 		abortController.abort();
 	}, disconnectAfterMs ?? callerTimeoutMs + 1000);
 	try {
-		const {status, body, isComplete} = await sendRequest({
+		const {status, body, isComplete, headers: responseHeaders} = await sendRequest({
 			host: target.instance, port: instancePorts.callers, path, method, agent, headers, signal: abortController.signal,
 		}, method === 'POST' ? 'body' : undefined);
 		Object.assign(record, {status, body, isComplete});
+		const seal = responseHeaders['x-response-seal'];
+		if (typeof seal === 'string') {
+			record.statement = {
+				endpoint: seal.split('.', 1)[0]!, hasLimit: responseHeaders['server-limit'] !== undefined, isLeaving: responseHeaders['server-leaving'] !== undefined,
+			};
+		}
 	} catch {
 		// No response headers arrived, so the record has no status.
 	}
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -11,6 +11,8 @@
 	evacuationMs: 5000,
 	configurationMs: 2000,
 	revocationMs: 5000,
+	/** Time after a statement of an endpoint from which the instance that passed it on is bound by it. */
+	tellMs: 500,
 	/** A request around a planned stop may fail within this time after it was sent, if no endpoint received it. */
 	stopDropMs: 200,
 	/** Time after a caller's disconnect within which the endpoint has to stop working on its request. */
@@ -46,6 +48,13 @@
 
 const secondMs: Milliseconds = 1000;
 
+/** Window of limits that endpoints name, and requests that they may get beyond one and a half times the limit. */
+const limitWindowMs: Milliseconds = 4000;
+const limitSlack = 5;
+
+/** Requests that may reach an endpoint from an instance that it has asked to wait. */
+const requestsInRetryTime = 2;
+
 type Check = (history: History) => string[];
 
 const completeStream = Array.from({length: streamEventCount}, (_, index) => formatStreamEvent(index + 1)).join('');
@@ -84,6 +93,29 @@
 		.toSorted((a, b) => a - b);
 }
 
+/** Whether the process of an instance was killed, stopped or frozen at some time within a period. */
+function wasAway({faultPeriods, events}: History, instance: string, from: Milliseconds, until: Milliseconds): boolean {
+	const absences = [...faultPeriods.filter(({kind}) => kind === 'killed' || kind === 'frozen'), ...events.filter(event => event.kind === 'stop-requested')];
+	return absences.some(absence => absence.instance === instance && absence.at <= until && absence.until >= from);
+}
+
+/** Whether an instance had passed on a response with a statement before a time, and was not away since then. */
+function wasTold(history: History, instance: string, before: Milliseconds, hasStatement: (request: RequestRecord) => boolean): boolean {
+	return history.requests.some(request => request.instance === instance && request.endedAt <= before && hasStatement(request)
+		&& !wasAway(history, instance, request.endedAt, before + bounds.tellMs + bounds.drainingMs));
+}
+
+/** Requests that reached an endpoint, without those that a fault of its connections may have held up. */
+function findArrivals(history: History, endpoint: string): Array<{request: RequestRecord; received: ReceivedRequestRecord}> {
+	const requestsById = new Map(history.requests.map(request => [request.requestId, request]));
+	const heldUp = history.faultPeriods.filter(({kind}) => kind === 'endpoint-connections');
+	return history.receivedRequests.flatMap(received => {
+		const request = requestsById.get(received.requestId);
+		const isHeldUp = heldUp.some(({at, until}) => at <= received.receivedAt && until >= received.receivedAt - bounds.contactLossMs);
+		return received.endpoint === endpoint && received.isExpected && !isHeldUp && request !== undefined ? [{request, received}] : [];
+	});
+}
+
 function isWithoutFaults({faultPeriods}: History, from: Milliseconds, until: Milliseconds): boolean {
 	return !faultPeriods.some(period => period.at <= until && period.until >= from - bounds.contactLossMs);
 }
@@ -219,6 +251,32 @@
 			.filter(({status, body, promptParts}) => status === 503 && body.includes(':withheld') && !promptParts.some(part => crashingParts.has(part)))
 			.map(({requestId, instance, promptParts}) => `${requestId} with ${promptParts.join(',')} was withheld at ${instance}`);
 	},
+	'stated-limit-kept'(history) {
+		return eventsOf(history, 'endpoint-limited').flatMap(({endpoint, perSecond, at, until}) => {
+			const allowed = (1.5 * perSecond * limitWindowMs / secondMs) + limitSlack;
+			const times = findArrivals(history, endpoint)
+				.filter(({request, received}) => received.receivedAt >= at + bounds.contactLossMs && received.receivedAt <= until
+					&& wasTold(history, request.instance, received.receivedAt - bounds.tellMs, ({statement}) => statement?.endpoint === endpoint && statement.hasLimit))
+				.map(({received}) => received.receivedAt);
+			const most = Math.max(0, ...times.map(from => times.filter(time => time >= from && time < from + limitWindowMs).length));
+			return most > allowed ? [`${endpoint} named ${perSecond} requests a second and got ${most} in ${limitWindowMs} ms, of ${allowed} allowed`] : [];
+		});
+	},
+	'stated-leaving-unused'(history) {
+		return eventsOf(history, 'endpoint-states-leaving').flatMap(({endpoint, until}) => findArrivals(history, endpoint)
+			.filter(({request, received}) => received.receivedAt <= until
+				&& wasTold(history, request.instance, request.sentAt - bounds.drainingMs, ({statement}) => statement?.endpoint === endpoint && statement.isLeaving))
+			.map(({request}) => `${request.requestId} reached ${endpoint}, which had stated to ${request.instance} that it leaves`));
+	},
+	'retry-time-kept'(history) {
+		return history.receivedRequests.filter(({retryAfterMs}) => retryAfterMs !== undefined).flatMap(({requestId, endpoint, receivedAt, retryAfterMs}) => {
+			const instance = history.requests.find(request => request.requestId === requestId)?.instance;
+			const later = findArrivals(history, endpoint).filter(({request, received}) => request.instance === instance
+				&& received.receivedAt > receivedAt + bounds.tellMs && received.receivedAt < receivedAt + retryAfterMs!
+				&& !wasAway(history, request.instance, receivedAt, received.receivedAt));
+			return later.length > requestsInRetryTime ? [`${endpoint} got ${later.length} requests of ${instance} within ${retryAfterMs} ms after it had turned ${requestId} away`] : [];
+		});
+	},
 	'planned-stop-without-cut'(history) {
 		const receivedIds = new Set(history.receivedRequests.map(({requestId}) => requestId));
 		return eventsOf(history, 'stop-requested').flatMap(event => history.requests
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -133,6 +133,18 @@
 			await site.drainEndpoint(endpoint);
 		}
 	},
+	async nameLimit(site, random) {
+		const endpoint = random.pick(findRemovableEndpoints(site));
+		if (endpoint !== undefined) {
+			await site.limitEndpoint(endpoint, random.integer(0, 80) / 10, random.integer(6000, 12_000));
+		}
+	},
+	async leaveByStatement(site, random) {
+		const endpoint = random.pick(findRemovableEndpoints(site));
+		if (endpoint !== undefined) {
+			await site.leaveByStatement(endpoint, random.integer(2000, 6000));
+		}
+	},
 	async evacuate(site, random) {
 		if (!site.events.some(event => event.kind === 'zone-evacuated' && event.until === Infinity)) {
 			await site.evacuateZone(random.pick(availabilityZones)!, random.integer(4000, 9000));
@@ -216,6 +228,19 @@
 			standIn.faults.length = 0;
 		});
 	},
+	/** An endpoint turns requests away and names a time after which it takes others. */
+	async askToWait(site, random) {
+		const {standIn} = random.pick(site.endpoints)!;
+		standIn.rejectionHeaders = {'retry-after': String(random.integer(5, 50) / 10)};
+		for (let count = 0; count < requestFaultCount; count++) {
+			standIn.faults.push(endpointFaults.reject);
+			// eslint-disable-next-line no-await-in-loop
+			await delay(random.integer(50, 1000));
+		}
+
+		// Rejections that no request has met would be met outside of a recorded period.
+		standIn.faults.length = 0;
+	},
 	/** Engines crash one after the other under requests with one part in their prompts. */
 	async crashingPart(site, random) {
 		const part = site.startCrashingPart();
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -30,6 +30,8 @@
 	status?: number;
 	body: string;
 	isComplete: boolean;
+	/** What the endpoint that responded stated about itself. */
+	statement?: {readonly endpoint: string; readonly hasLimit: boolean; readonly isLeaving: boolean};
 	/** When the caller closed its connection before the response was complete. */
 	disconnectedAt?: Milliseconds;
 };
@@ -45,6 +47,8 @@
 	readonly isExecuted: boolean;
 	/** False when the request was meant for another endpoint. */
 	readonly isExpected: boolean;
+	/** Time after which the endpoint takes requests of the sender again, if it turned this one away and said so. */
+	readonly retryAfterMs?: Milliseconds;
 	readonly closedAt?: Milliseconds;
 };
 
@@ -52,6 +56,8 @@
 export type SiteEvent
 	= | {readonly kind: 'endpoint-draining'; readonly endpoint: string; readonly at: Milliseconds}
 		| {readonly kind: 'endpoint-cold'; readonly endpoint: string; readonly at: Milliseconds; readonly until: Milliseconds}
+		| {readonly kind: 'endpoint-limited'; readonly endpoint: string; readonly perSecond: number; readonly at: Milliseconds; until: Milliseconds}
+		| {readonly kind: 'endpoint-states-leaving'; readonly endpoint: string; readonly at: Milliseconds; until: Milliseconds}
 		| {readonly kind: 'engine-crashed'; readonly endpoint: string; readonly part: string; readonly at: Milliseconds}
 		| {readonly kind: 'zone-evacuated'; readonly availabilityZone: string; readonly at: Milliseconds; until: Milliseconds}
 		| {readonly kind: 'key-revoked'; readonly key: string; readonly at: Milliseconds}
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -274,10 +274,35 @@
 		await endpoint.standIn.dispose();
 	}
 
+	/** Lets an endpoint name a limit in its responses. */
+	async limitEndpoint({id, standIn}: SoakEndpoint, perSecond: number, durationMs: Milliseconds): Promise<void> {
+		const event: SiteEvent = {
+			kind: 'endpoint-limited', endpoint: id, perSecond, at: performance.now(), until: Infinity,
+		};
+		this.events.push(event);
+		standIn.statedHeaders = {...standIn.statedHeaders, 'server-limit': String(perSecond)};
+		await delay(durationMs);
+		event.until = Math.min(event.until, performance.now());
+		const {'server-limit': _, ...otherHeaders} = standIn.statedHeaders;
+		standIn.statedHeaders = otherHeaders;
+	}
+
+	/** Lets an endpoint state in its responses that it leaves, while its record says that it is ready, and drains it later. */
+	async leaveByStatement(endpoint: SoakEndpoint, durationMs: Milliseconds): Promise<void> {
+		endpoint.isBusy = true;
+		this.events.push({
+			kind: 'endpoint-states-leaving', endpoint: endpoint.id, at: performance.now(), until: Infinity,
+		});
+		endpoint.standIn.statedHeaders = {...endpoint.standIn.statedHeaders, 'server-leaving': '1'};
+		await delay(durationMs);
+		await this.drainEndpoint(endpoint);
+	}
+
 	/** Kills an endpoint and starts it again, cold, with the same id and address. */
 	async restartEndpoint(endpoint: SoakEndpoint, downMs: Milliseconds): Promise<void> {
 		endpoint.isBusy = true;
 		endpoint.isRestarting = true;
+		this.#endStatements(endpoint);
 		const {port} = splitAddress(endpoint.standIn.address);
 		await endpoint.standIn.dispose();
 		endpoint.proxy.resetConnections();
@@ -321,8 +346,8 @@
 	}
 
 	receivedRequests(): ReceivedRequestRecord[] {
-		return this.#endpointStarts.flatMap(({endpoint, standIn}) => standIn.receivedRequests.map(({requestId, receivedAt, isExecuted, isExpected, closedAt}) => ({
-			requestId, receivedAt, isExecuted, isExpected, closedAt, endpoint: endpoint.id, service: endpoint.service, availabilityZone: endpoint.availabilityZone,
+		return this.#endpointStarts.flatMap(({endpoint, standIn}) => standIn.receivedRequests.map(({requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt}) => ({
+			requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt, endpoint: endpoint.id, service: endpoint.service, availabilityZone: endpoint.availabilityZone,
 		})));
 	}
 
@@ -342,6 +367,15 @@
 		await this.#disposables.dispose();
 	}
 
+	/** Ends what an endpoint has stated, because a later start of it knows nothing of it. */
+	#endStatements({id}: SoakEndpoint): void {
+		for (const event of this.events) {
+			if ((event.kind === 'endpoint-limited' || event.kind === 'endpoint-states-leaving') && event.endpoint === id) {
+				event.until = Math.min(event.until, performance.now());
+			}
+		}
+	}
+
 	#temporaryKeyName(offset: number): string {
 		return `key-temporary-${this.#temporaryKeyNumber + offset}`;
 	}
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -61,6 +61,8 @@
 	/** False when it was addressed to another endpoint. */
 	readonly isExpected: boolean;
 	isClosedEarly: boolean;
+	/** Time after which the endpoint takes requests of the sender again, if it turned this one away and said so. */
+	retryAfterMs?: Milliseconds;
 	/** When the response ended or its connection closed. */
 	closedAt?: Milliseconds;
 };
@@ -155,6 +157,7 @@
 		const received: ReceivedRequest = {
 			requestId, path: `${url.pathname}${url.search}`, headers: request.headers, body: new TextDecoder().decode(body),
 			isExecuted, isExpected, receivedAt: performance.now(), isClosedEarly: false,
+			...(fault === endpointFaults.reject && 'retry-after' in this.rejectionHeaders && {retryAfterMs: Number(this.rejectionHeaders['retry-after']) * 1000}),
 		};
 		this.receivedRequests.push(received);
 		response.on('close', () => {
--- a/test/gateway/forwarding/continuation-errors.test.ts
+++ b/test/gateway/forwarding/continuation-errors.test.ts
@@ -38,13 +38,13 @@
 			socket.write(text.slice(-9) + chunk(errorText.slice(30)) + '0\r\n\r\n');
 		}, 20);
 	},
-	404({requestId, socket}) {
+	'status 404 with a text'({requestId, socket}) {
 		socket.write(withBody(requestId, 404, 'text/html'));
 	},
 	'400 as a stream of events'({requestId, socket}) {
 		socket.write(withBody(requestId, 400, 'text/event-stream'));
 	},
-	302({requestId, socket}) {
+	'status 302 as a stream of events'({requestId, socket}) {
 		socket.write(withBody(requestId, 302, 'text/event-stream'));
 	},
 	'200 with a body of another type'({requestId, socket}) {
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -56,8 +56,42 @@
 	return createRequests(count, 100, {kind: 'draft', promptParts: ['first', 'bad'], status: 502});
 }
 
+const limited: SiteEvent = {
+	kind: 'endpoint-limited', endpoint: 'e1', perSecond: 4, at: 7000, until: Infinity,
+};
+const statesLeaving: SiteEvent = {
+	kind: 'endpoint-states-leaving', endpoint: 'e1', at: 9000, until: Infinity,
+};
+
+/** Requests of one instance, which reach an endpoint that states something about itself, ten a second. */
+function createStatedRequests(count: number, statement: Partial<NonNullable<RequestRecord['statement']>>): Pick<History, 'requests' | 'receivedRequests'> {
+	return createRequests(count, 100, {
+		statement: {
+			endpoint: 'e1', hasLimit: false, isLeaving: false, ...statement,
+		},
+	});
+}
+
+/** Requests of one instance, ten a second, of which the first one is turned away. */
+function createTurnedAwayRequests(retryAfterMs: number): Pick<History, 'requests' | 'receivedRequests'> {
+	const {requests, receivedRequests: [first, ...others]} = createRequests(20, 100);
+	return {requests, receivedRequests: [{...first!, isExecuted: false, retryAfterMs}, ...others]};
+}
+
 /** For each check a history that violates the guarantee, and a similar one that does not. */
 const cases: Record<CheckName, {readonly broken: Partial<History>; readonly kept: Partial<History>}> = {
+	'stated-limit-kept': {
+		broken: {...createStatedRequests(40, {hasLimit: true}), events: [limited]},
+		kept: {...createStatedRequests(40, {hasLimit: true}), events: [{...limited, perSecond: 8}]},
+	},
+	'stated-leaving-unused': {
+		broken: {...createStatedRequests(30, {isLeaving: true}), events: [statesLeaving]},
+		kept: {...createStatedRequests(15, {isLeaving: true}), events: [statesLeaving]},
+	},
+	'retry-time-kept': {
+		broken: createTurnedAwayRequests(3000),
+		kept: createTurnedAwayRequests(700),
+	},
 	'runs-at-most-once': {
 		broken: {requests: [createRequest({kind: 'booking'})], receivedRequests: [createReceivedRequest(), createReceivedRequest({endpoint: 'e2'})]},
 		kept: {requests: [createRequest({kind: 'booking'})], receivedRequests: [createReceivedRequest(), createReceivedRequest({endpoint: 'e2', isExecuted: false})]},
