--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -15,6 +15,9 @@
 /** Rounds of questions to witnesses: questions and answers are lost, and busy instances answer late. */
 const witnessRounds = 3;
 
+/** Largest age of the last read of a witness: the store may have been down since then, but not for long enough that records have expired. */
+const maximumWitnessAgeMs = 2000;
+
 /** Largest age of a confirmation that is taken over, in intervals. An older one means that the reader has lost the store, or has its state confirmed by others that it takes for the reader. */
 const maximumConfirmationIntervals = 1.5;
 
@@ -202,11 +205,12 @@
 		const {findWitnesses, log} = this.options;
 		const asked = new Set<string>();
 		const questions: Array<Promise<string>> = [];
+		const reasons: string[] = [];
 		for (let remainingRounds = witnessRounds; remainingRounds > 0; remainingRounds--) {
 			for (const host of findWitnesses()) {
 				asked.add(host);
 				// Late answers to the first questions count, too.
-				questions.push(this.#askWitness(host, remainingRounds * askTimeoutMs));
+				questions.push(this.#askWitness(host, remainingRounds * askTimeoutMs, reasons));
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- another round is needed only when the one before had no answer
@@ -217,19 +221,22 @@
 			}
 		}
 
-		log.event('outage-assumed', {dependency: 'store', asked: [...asked].join(',')});
+		log.event('outage-assumed', {dependency: 'store', asked: [...asked].join(','), answers: reasons.join(',')});
 		return false;
 	}
 
 	/**
 	Returns the host if its instance has read the store without a gap.
 
+	@param reasons gets the reason when it has not
 	@throws {Error} when it has not, or doesn't answer in time
 	*/
-	async #askWitness(host: string, timeoutMs: Milliseconds): Promise<string> {
+	async #askWitness(host: string, timeoutMs: Milliseconds, reasons: string[]): Promise<string> {
 		const answer = await this.options.ask(host, timeoutMs);
-		if (!this.#isRecent(answer) || answer.recordGraceMs > 0) {
-			throw new Error(`${host} does not know`);
+		if (answer === undefined || answer.ageMs > maximumWitnessAgeMs || answer.recordGraceMs > 0) {
+			const reason = answer === undefined ? `${host} none` : `${host} age ${Math.round(answer.ageMs)} grace ${Math.round(answer.recordGraceMs)}`;
+			reasons.push(reason);
+			throw new Error(reason);
 		}
 
 		return host;
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -191,6 +191,12 @@
 	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
 });
 
+// Guards against an outage that is assumed because the others were as busy as this instance and have not read the store within the last moment.
+test('a witness whose last read is older than a confirmation may be, but newer than records expire, counts', async t => {
+	const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => createConfirmation({ageMs: 1800})});
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
+});
+
 // Guards against an outage of the store that takes all endpoints away, because each instance relies on another that knows no more.
 for (const [what, answer] of [
 	['gives no answer', undefined],
