Keep a limit while an endpoint's errors do not name it, and tell changes once

Only a success of the endpoint itself ends a limit now.

Also, from reading: a report that arrived again seemed a few milliseconds newer each time and was passed on between zones again; reports are told at a change of more than a tenth and every 2 s now, by whichever instance hears first. The exchange of permits applies grants in one place.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -137,6 +137,11 @@
 		return (this.#firstEventAt ?? now) + survivalMs;
 	}
 
+	/** Whether the response is the endpoint's own and says that it ran the request. */
+	get isSuccess(): boolean {
+		return this.#kind === responseKinds.relay && this.#head !== undefined && this.#head.status < 300;
+	}
+
 	/** Whether the endpoint has sent a whole response to the request. */
 	isAnswered(outcome: AttemptOutcome): boolean {
 		return outcome === attemptOutcomes.completed && this.#head !== undefined && this.#head.status < 300;
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -250,7 +250,7 @@
 	#onHead(attempt: Attempt, endpoint: EndpointRecord, head: ResponseHead): void {
 		const foreignRequestId = attempt.acceptHead(head, this.context.clock.now());
 		if (attempt.statement !== undefined) {
-			this.context.recordStatement(endpoint, attempt.statement, attempt.sentAt);
+			this.context.recordStatement(endpoint, attempt.statement, attempt.isSuccess ? attempt.sentAt : undefined);
 		}
 
 		if (attempt.kind === responseKinds.foreign) {
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -68,8 +68,8 @@
 	readonly acquireConnection: (endpoint: EndpointRecord, isRetryable: boolean) => EndpointConnection;
 	/** Whether the request may still be sent to the endpoint. */
 	readonly maySend: (endpoint: EndpointRecord) => boolean;
-	/** @param sentAt when the request was sent that the endpoint responded to */
-	readonly recordStatement: (endpoint: EndpointRecord, statement: EndpointStatement, sentAt: Milliseconds) => void;
+	/** @param completedSentAt when the request was sent, if the response is a success */
+	readonly recordStatement: (endpoint: EndpointRecord, statement: EndpointStatement, completedSentAt?: Milliseconds) => void;
 	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	readonly onEnd: (result: ForwardResult) => void;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -375,8 +375,8 @@
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
 			maySend: endpoint => this.#maySend(freshnessArrivedAt, endpoint),
 			containment: this.#containment,
-			recordStatement: (endpoint, statement, sentAt) => {
-				this.#statements.record(endpoint, statement, sentAt);
+			recordStatement: (endpoint, statement, completedSentAt) => {
+				this.#statements.record(endpoint, statement, completedSentAt);
 			},
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
--- a/src/gateway/permits/permit-exchange.ts
+++ b/src/gateway/permits/permit-exchange.ts
@@ -75,9 +75,7 @@
 	}
 
 	receiveGrant(grant: PermitGrant): void {
-		if (this.#holder.receive(grant, this.#waitMs, this.options.now())) {
-			this.options.onGranted();
-		}
+		this.#deliver([{host: this.options.ownHost, grant}]);
 	}
 
 	/** Returns the grants for instances that have waited. Called periodically. */
@@ -87,17 +85,23 @@
 		return this.#deliver(this.#arbiter.tick(limited, this.options.now()));
 	}
 
+	/** Applies the grants for this instance, and returns what is to be sent to the others. */
 	#deliver(grants: readonly GrantTo[]): OutgoingDatagram[] {
-		for (const {host, grant} of grants) {
-			if (host === this.options.ownHost) {
-				this.receiveGrant(grant);
-			}
+		if (this.#keepOwn(grants)) {
+			this.options.onGranted();
 		}
 
-		return this.#datagramsOf(grants);
+		return this.#encodeOthers(grants);
 	}
 
-	#datagramsOf(grants: readonly GrantTo[]): OutgoingDatagram[] {
+	/** Returns whether this instance has got permits. */
+	#keepOwn(grants: readonly GrantTo[]): boolean {
+		const own = grants.filter(({host}) => host === this.options.ownHost);
+		const received = own.filter(({grant}) => this.#holder.receive(grant, this.#waitMs, this.options.now()));
+		return received.length > 0;
+	}
+
+	#encodeOthers(grants: readonly GrantTo[]): OutgoingDatagram[] {
 		return grants.filter(({host}) => host !== this.options.ownHost).map(({host, grant}) => ({datagram: encodePermitGrant(grant), targets: [host]}));
 	}
 
@@ -124,13 +128,8 @@
 		}
 
 		const grants = this.#arbiter.receive(request, ownHost, now());
-		for (const {host, grant} of grants) {
-			if (host === ownHost) {
-				// No `onGranted`, because the caller is about to use the permit.
-				this.#holder.receive(grant, this.#waitMs, now());
-			}
-		}
-
-		send(this.#datagramsOf(grants));
+		// The caller uses the permit itself.
+		this.#keepOwn(grants);
+		send(this.#encodeOthers(grants));
 	}
 }
--- a/src/gateway/statements/endpoint-statements.ts
+++ b/src/gateway/statements/endpoint-statements.ts
@@ -10,7 +10,7 @@
 
 const maximumEntries = 4096;
 
-/** Relative change of a limit, and time since the last report, from which on the others are told again. */
+/** Relative change of a limit, and time since the last report that was told, from which on the others are told again. */
 const toldChangeRatio = 0.1;
 const toldAgainAfterMs: Milliseconds = 2000;
 
@@ -31,14 +31,23 @@
 	readonly start: EndpointStart;
 	leaving?: LeavingReport;
 	limit?: LimitReport;
-	/** When the others were last told of the limit, by whichever instance. */
-	limitToldAt: Milliseconds;
+	/** The last report of the limit that all instances were told, by whichever of them. */
+	toldLimit?: LimitReport;
 	/** Until when it wants no requests from this instance. */
 	waitsUntil: Milliseconds;
 	lastHeardAt: Milliseconds;
 	readonly rejectedValues: Set<string>;
 };
 
+/** Whether a limit differs so much that the others are told at once. */
+function hasChanged(previous: number | undefined, current: number | undefined): boolean {
+	if (previous === undefined || current === undefined) {
+		return previous !== current;
+	}
+
+	return Math.abs(current - previous) > toldChangeRatio * previous;
+}
+
 /** What endpoints have stated about themselves, to this instance or to others. */
 export class EndpointStatements {
 	static create(options: EndpointStatementsOptions): EndpointStatements {
@@ -53,9 +62,9 @@
 	/**
 	Records what an endpoint has stated in a response to this instance.
 
-	@param sentAt when the request was sent
+	@param completedSentAt when the request was sent, if the response is a success. Errors and rejections may lack a statement that still holds
 	*/
-	record(start: EndpointStart, {requestsPerSecond, isLeaving, retryAfterMs, unreadable}: EndpointStatement, sentAt: Milliseconds): void {
+	record(start: EndpointStart, {requestsPerSecond, isLeaving, retryAfterMs, unreadable}: EndpointStatement, completedSentAt?: Milliseconds): void {
 		const {ownHost, clock, onNews, onStatement} = this.options;
 		this.#logRejectedValues(start, unreadable);
 		if (retryAfterMs !== undefined) {
@@ -65,25 +74,28 @@
 		const source = {
 			id: start.id, startedAt: start.startedAt, heardBy: ownHost, heardAt: clock.now(),
 		};
+		const reports: StatementReport[] = [];
 		if (isLeaving) {
 			onStatement('leaving');
-			const report: LeavingReport = {...source, kind: 'leaving'};
-			if (this.#applyLeaving(report)) {
-				onNews([report]);
-			}
+			reports.push({...source, kind: 'leaving'});
 		}
 
 		if (requestsPerSecond !== undefined) {
 			onStatement('limit');
-			this.#recordLimit({...source, kind: 'limit', perSecond: requestsPerSecond});
-		} else if (sentAt >= (this.findLimit(start)?.heardAt ?? Infinity) + limitEndMarginMs) {
-			this.#recordLimit({...source, kind: 'limit'});
+			reports.push({...source, kind: 'limit', perSecond: requestsPerSecond});
+		} else if (completedSentAt !== undefined && completedSentAt >= (this.findLimit(start)?.heardAt ?? Infinity) + limitEndMarginMs) {
+			reports.push({...source, kind: 'limit'});
+		}
+
+		const news = this.receive(reports);
+		if (news.length > 0) {
+			onNews(news);
 		}
 	}
 
-	/** Applies what other instances have heard. Returns what was new. */
+	/** Applies what this instance or others have heard. Returns what the others are to be told. */
 	receive(reports: readonly StatementReport[]): StatementReport[] {
-		return reports.filter(report => report.kind === 'leaving' ? this.#applyLeaving(report) : this.#applyLimit(report, true));
+		return reports.filter(report => report.kind === 'leaving' ? this.#applyLeaving(report) : this.#applyLimit(report));
 	}
 
 	/** All that is known, for other instances. */
@@ -146,34 +158,25 @@
 		}
 	}
 
-	/** Tells the others of a limit that is new, has changed, or has not been told for a while. */
-	#recordLimit(report: LimitReport): void {
-		const {limitToldAt, limit} = this.#entry(report);
-		const [previous = Infinity, current = Infinity] = [limit?.perSecond, report.perSecond];
-		const hasChanged = previous === Infinity || current === Infinity ? previous !== current : Math.abs(current - previous) > toldChangeRatio * previous;
-		const isDue = hasChanged || report.heardAt - limitToldAt > toldAgainAfterMs;
-		if (this.#applyLimit(report, isDue) && isDue) {
-			this.options.onNews([report]);
-		}
-	}
-
-	/** Of several reports the one that was heard last counts. Returns whether this one does. */
-	#applyLimit(report: LimitReport, isTold: boolean): boolean {
+	/** Of several reports the one that was heard last counts. Returns whether the others are to be told of this one. */
+	#applyLimit(report: LimitReport): boolean {
 		const entry = this.#entry(report);
-		const previous = entry.limit;
-		if (previous !== undefined && report.heardAt <= previous.heardAt) {
+		if (entry.limit !== undefined && report.heardAt <= entry.limit.heardAt) {
 			return false;
 		}
 
 		entry.limit = report;
 		entry.lastHeardAt = Math.max(entry.lastHeardAt, report.heardAt);
-		if (isTold) {
-			entry.limitToldAt = this.options.clock.now();
+		const told = entry.toldLimit;
+		const isChanged = hasChanged(told?.perSecond, report.perSecond);
+		if (!isChanged && told !== undefined && report.heardAt - told.heardAt <= toldAgainAfterMs) {
+			return false;
 		}
 
-		if (previous?.perSecond !== report.perSecond) {
+		entry.toldLimit = report;
+		if (isChanged) {
 			this.options.log.event(report.perSecond === undefined ? 'endpoint-limit-ended' : 'endpoint-states-limit', {
-				endpoint: report.id, startedAt: report.startedAt, perSecond: report.perSecond, previousPerSecond: previous?.perSecond, heardBy: report.heardBy, ageMs: this.#ageMs(report),
+				endpoint: report.id, startedAt: report.startedAt, perSecond: report.perSecond, previousPerSecond: told?.perSecond, heardBy: report.heardBy, ageMs: this.#ageMs(report),
 			});
 		}
 
@@ -217,7 +220,7 @@
 		let entry = this.#entries.get(key);
 		if (entry === undefined) {
 			entry = {
-				start: {id: start.id, startedAt: start.startedAt}, limitToldAt: -Infinity, waitsUntil: -Infinity, lastHeardAt: this.options.clock.now(), rejectedValues: new Set(),
+				start: {id: start.id, startedAt: start.startedAt}, waitsUntil: -Infinity, lastHeardAt: this.options.clock.now(), rejectedValues: new Set(),
 			};
 			this.#entries.set(key, entry);
 			const [oldestKey] = this.#entries.keys();
--- a/test/gateway/statements/endpoint-statements.test.ts
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -93,3 +93,68 @@
 	statements.record(start, {...nothing, retryAfterMs: 0}, clock.now());
 	t.is(statements.waitsUntil(start), 14_000);
 });
+
+test('a limit is told at its start, when it changes much, now and then, and at its end', t => {
+	const {statements, clock, news} = createStatements();
+	const toldAfter = (perSecond: number | undefined, elapsedMs: number) => {
+		clock.advance(elapsedMs);
+		news.length = 0;
+		statements.record(start, {...nothing, requestsPerSecond: perSecond}, clock.now());
+		return news.map(report => report.kind === 'limit' ? report.perSecond : report.kind);
+	};
+
+	t.deepEqual(toldAfter(4, 0), [4]);
+	t.deepEqual(toldAfter(4.1, 100), []);
+	t.deepEqual(toldAfter(4.5, 100), [4.5]);
+	t.deepEqual(toldAfter(4.5, 2100), [4.5]);
+	t.deepEqual(toldAfter(undefined, 600), [undefined]);
+	t.is(statements.findLimit(start), undefined);
+	t.deepEqual(toldAfter(undefined, 600), []);
+	t.deepEqual(toldAfter(2, 100), [2]);
+});
+
+// Guards against a limit that ends with a response to a request that was sent before the limit was named.
+test('a response without a limit to an earlier request does not end it, also when another instance has heard it', t => {
+	const {statements, clock} = createStatements();
+	const sentAt = clock.now();
+	clock.advance(300);
+	statements.receive([{
+		...start, kind: 'limit', perSecond: 4, heardBy: '10.0.0.2', heardAt: clock.now(),
+	}]);
+	clock.advance(400);
+	statements.record(start, nothing, sentAt);
+	statements.record(start, nothing, sentAt + 700);
+	t.is(statements.findLimit(start)?.perSecond, 4);
+	clock.advance(500);
+	statements.record(start, nothing, sentAt + 800);
+	t.is(statements.findLimit(start), undefined);
+});
+
+test('of two reports the one that was heard last counts, in whichever order they arrive', t => {
+	const {statements} = createStatements();
+	const report = {...start, kind: 'limit', heardBy: '10.0.0.2'} as const;
+	statements.receive([{...report, perSecond: 6, heardAt: 9900}]);
+	statements.receive([{...report, perSecond: 2, heardAt: 9800}]);
+	t.is(statements.findLimit(start)?.perSecond, 6);
+	t.is(statements.findLimit({...start, startedAt: 8}), undefined);
+});
+
+// Guards against reports that zones pass on to each other for ever.
+test('a report that arrives again, seemingly a little later, is not told again', t => {
+	const {statements} = createStatements();
+	const report = {
+		...start, kind: 'limit', perSecond: 4, heardBy: '10.0.0.2',
+	} as const;
+	t.is(statements.receive([{...report, heardAt: 9900}]).length, 1);
+	t.is(statements.receive([{...report, heardAt: 9905}]).length, 0);
+	t.is(statements.findLimit(start)?.heardAt, 9905);
+});
+
+// Guards against a limit that ends while the endpoint still names it, because its errors do not.
+test('an error without a limit does not end it', t => {
+	const {statements, clock} = createStatements();
+	statements.record(start, {...nothing, requestsPerSecond: 4}, clock.now());
+	clock.advance(5000);
+	statements.record(start, nothing);
+	t.is(statements.findLimit(start)?.perSecond, 4);
+});
