Show operators what endpoints have stated

`http://<instance>:7601/statements` lists for each endpoint the limit and whether it leaves (heard by whom, how old), and for how long it wants no requests from this instance. The gauges count the same list. Tested in the unit and in the site of `endpoint-statements`.

--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -35,7 +35,7 @@
 import {SiteState, type SiteChange} from './site/site-state.js';
 import {selectWitnesses} from './site/witness-selection.js';
 import type {EndpointRecord, Service, SiteConfirmation} from './site/types.js';
-import {EndpointStatements} from './statements/endpoint-statements.js';
+import {EndpointStatements, type StatementStatus} from './statements/endpoint-statements.js';
 import type {EndpointStart} from './statements/types.js';
 import {StatementExchange} from './statements/statement-exchange.js';
 
@@ -310,6 +310,7 @@
 		const metrics = MonitoringServer.create({host: settings.host, port: settings.internalPorts.first + metricsPortOffset}, log, new Map<string, MonitoringHandler>([
 			['/metrics', async () => ({status: 200, body: await this.#renderMetrics()})],
 			['/quarantine', () => ({status: 200, contentType: 'application/json', body: JSON.stringify(this.#containment.status())})],
+			['/statements', () => ({status: 200, contentType: 'application/json', body: JSON.stringify(this.#statementStatus())})],
 		]));
 		for (const server of [ready, metrics]) {
 			// eslint-disable-next-line no-await-in-loop -- the second is not needed when the first can't start
@@ -537,7 +538,12 @@
 			};
 	}
 
+	#statementStatus(): StatementStatus[] {
+		return this.#statements.status(start => this.#isListed(start));
+	}
+
 	async #renderMetrics(): Promise<string> {
+		const statements = this.#statementStatus();
 		return this.#metrics.render({
 			waiting: this.#schedulers.waiting(),
 			inFlight: [...this.#tasks].filter(task => task.isInFlight).length,
@@ -546,9 +552,9 @@
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
 			quarantineEntries: this.#containment.status().length,
-			waitingEndpoints: this.#statements.waitingCount(start => this.#isListed(start)),
-			limitedEndpoints: this.#statements.limitedStarts().filter(start => this.#isListed(start)).length,
-			leavingEndpoints: this.#statements.leavingCount(start => this.#isListed(start)),
+			limitedEndpoints: statements.filter(({limit}) => limit !== undefined).length,
+			leavingEndpoints: statements.filter(({leaving}) => leaving !== undefined).length,
+			waitingEndpoints: statements.filter(({waitsForMs}) => waitsForMs !== undefined).length,
 		});
 	}
 
--- a/src/gateway/statements/endpoint-statements.ts
+++ b/src/gateway/statements/endpoint-statements.ts
@@ -27,6 +27,18 @@
 	readonly onStatement: (kind: string) => void;
 };
 
+type HeardStatement = {readonly heardBy: string; readonly ageMs: Milliseconds};
+
+/** What one endpoint has stated, as operators read it. */
+export type StatementStatus = {
+	readonly endpoint: string;
+	readonly startedAt: number;
+	readonly leaving?: HeardStatement;
+	readonly limit?: HeardStatement & {readonly perSecond: number};
+	/** Time for which it wants no requests from this instance. */
+	readonly waitsForMs?: Milliseconds;
+};
+
 type Entry = {
 	readonly start: EndpointStart;
 	leaving?: LeavingReport;
@@ -124,15 +136,16 @@
 		return this.#entries.get(startKey(start))?.waitsUntil ?? -Infinity;
 	}
 
-	/** Number of endpoints that want no requests from this instance now, of those that the site lists. */
-	waitingCount(isListed: (start: EndpointStart) => boolean): number {
+	/** What holds now, for operators. */
+	status(isListed: (start: EndpointStart) => boolean): StatementStatus[] {
 		const now = this.options.clock.now();
-		return [...this.#entries.values()].filter(({start, waitsUntil}) => now < waitsUntil && isListed(start)).length;
-	}
-
-	/** Number of starts that have stated that they leave, of those that the site lists. */
-	leavingCount(isListed: (start: EndpointStart) => boolean): number {
-		return [...this.#entries.values()].filter(({start, leaving}) => leaving !== undefined && isListed(start)).length;
+		return [...this.#entries.values()].filter(({start}) => isListed(start)).map(({start, leaving, limit, waitsUntil}) => ({
+			endpoint: start.id,
+			startedAt: start.startedAt,
+			...(leaving !== undefined && {leaving: {heardBy: leaving.heardBy, ageMs: this.#ageMs(leaving)}}),
+			...(limit?.perSecond !== undefined && {limit: {perSecond: limit.perSecond, heardBy: limit.heardBy, ageMs: this.#ageMs(limit)}}),
+			...(now < waitsUntil && {waitsForMs: Math.round(waitsUntil - now)}),
+		})).filter(({leaving, limit, waitsForMs}) => leaving !== undefined || limit !== undefined || waitsForMs !== undefined);
 	}
 
 	/** Forgets what concerns endpoints that are gone. Called periodically. */
--- a/test/gateway/endpoint-statements.test.ts
+++ b/test/gateway/endpoint-statements.test.ts
@@ -81,6 +81,11 @@
 		}
 
 		await delay(contactMs + 8000);
+		const {host, internalPorts} = site.gateways[1]!.settings;
+		const response = await fetch(`http://${host}:${internalPorts.first + 1}/statements`);
+		const status = await response.json() as Array<{readonly endpoint: string; readonly limit: {readonly perSecond: number}}>;
+		t.deepEqual(new Set(status.map(({endpoint}) => endpoint)), new Set(limited.map(({options: {id}}) => id)));
+		t.true(status.every(({limit: {perSecond}}) => perSecond === limit));
 	});
 	for (const engine of limited) {
 		const arrivals = findArrivals(engine, calls);
--- a/test/gateway/statements/endpoint-statements.test.ts
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -158,3 +158,17 @@
 	statements.record(start, nothing);
 	t.is(statements.findLimit(start)?.perSecond, 4);
 });
+
+test('operators see what holds now: which value, heard by whom, and how old', t => {
+	const {statements, clock} = createStatements();
+	statements.record(start, {
+		...nothing, requestsPerSecond: 4, isLeaving: true, retryAfterMs: 2000,
+	}, clock.now());
+	statements.record({...start, startedAt: 8}, nothing, clock.now());
+	clock.advance(500);
+	const heard = {heardBy: '10.0.0.1', ageMs: 500};
+	t.deepEqual(statements.status(() => true), [{
+		endpoint: 'engine-1', startedAt: 7, leaving: heard, limit: {perSecond: 4, ...heard}, waitsForMs: 1500,
+	}]);
+	t.deepEqual(statements.status(() => false), []);
+});
