--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -19,4 +19,5 @@
 	{seed: 9605, minutes: 0.45, cause: 'as 9602, but its state was older than 3 s'},
 	{seed: 9606, minutes: 0.45, cause: 'not traced: a request was sent on a state 3.2 s old, before the instance knew that the endpoint leaves'},
 	{seed: 9611, minutes: 0.45, cause: 'an outgoing connection had taken the port of a crashed engine, which could not come back at it'},
+	{seed: 9701, minutes: 0.8, cause: 'an injected error without the header ended the limit that its endpoint still named'},
 ] as const;
