--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -111,6 +111,11 @@
 	return Math.max(minimum, isProminent ? Math.min(required, limits.maximumOfProminent) : required);
 }
 
+/** Returns the part with the most crashes. Those within a moment distinguish parts that have as many at different times. */
+function findLeading(candidates: readonly Candidate[]): Candidate | undefined {
+	return candidates.toSorted((a, b) => b.count - a.count || b.crashes.length - a.crashes.length)[0];
+}
+
 function isCrashUnder({suspects}: EndpointCrash, parts: readonly string[]): boolean {
 	return suspects.some(suspect => hasAll(suspect, parts));
 }
@@ -162,8 +167,7 @@
 		}
 
 		const candidates = [...required.keys()].filter(candidate => candidate.count >= required.get(candidate)!);
-		const most = Math.max(0, ...candidates.map(({count}) => count));
-		const leading = candidates.find(({count}) => count === most);
+		const leading = findLeading(candidates);
 		if (leading === undefined) {
 			return culprits;
 		}
--- a/test/gateway/quarantine/culprits.test.ts
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -111,3 +111,14 @@
 	t.deepEqual(findParts(withoutComparison(5), {'first-9': 10_000}), []);
 	t.deepEqual(findParts(withoutComparison(6), {'first-9': 10_000}), ['bad']);
 });
+
+// Guards against a common sound part that is convicted in place of the part at fault, because crashes within a moment count once.
+test('of parts with as many crashes at different times, the one with more crashes explains them', t => {
+	const times = [110, 180, 2860, 2920, 2980];
+	const crashes = [
+		createCrash(0, ['first', 'bad']),
+		createCrash(20, ['other', 'bad']),
+		...times.map(at => createCrash(at, ['first', 'bad'], ['first', `rare-${at}`])),
+	].map(crash => ({...crash, comparisons: {}}));
+	t.deepEqual(findParts(crashes), ['bad']);
+});
