--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -20,4 +20,6 @@
 	{seed: 9606, minutes: 0.45, cause: 'not traced: a request was sent on a state 3.2 s old, before the instance knew that the endpoint leaves'},
 	{seed: 9611, minutes: 0.45, cause: 'an outgoing connection had taken the port of a crashed engine, which could not come back at it'},
 	{seed: 9701, minutes: 0.8, cause: 'an injected error without the header ended the limit that its endpoint still named'},
+	{seed: 9811, minutes: 0.45, cause: 'after a start of all instances a sound first part was convicted in place of the part at fault, which had more crashes within a moment'},
+	{seed: 9833, minutes: 0.45, cause: 'two overlapping limits of one endpoint, of which no response named the first one'},
 ] as const;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -134,7 +134,7 @@
 		}
 	},
 	async nameLimit(site, random) {
-		const endpoint = random.pick(findRemovableEndpoints(site));
+		const endpoint = random.pick(findRemovableEndpoints(site).filter(({standIn}) => !('server-limit' in standIn.statedHeaders)));
 		if (endpoint !== undefined) {
 			await site.limitEndpoint(endpoint, random.integer(0, 80) / 10, random.integer(6000, 12_000));
 		}
