--- a/soak/failed-seeds.ts
+++ b/soak/failed-seeds.ts
@@ -22,4 +22,5 @@
 	{seed: 9701, minutes: 0.8, cause: 'an injected error without the header ended the limit that its endpoint still named'},
 	{seed: 9811, minutes: 0.45, cause: 'after a start of all instances a sound first part was convicted in place of the part at fault, which had more crashes within a moment'},
 	{seed: 9833, minutes: 0.45, cause: 'two overlapping limits of one endpoint, of which no response named the first one'},
+	{seed: 9865, minutes: 0.45, cause: 'not traced: after a start of all instances a sound first part was convicted in place of the part at fault; beside CI and a hunt'},
 ] as const;
