--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -93,22 +93,24 @@
 		.toSorted((a, b) => a - b);
 }
 
+type Arrival = {readonly request: RequestRecord; readonly received: ReceivedRequestRecord};
+
 /** Whether the process of an instance was killed, stopped or frozen at some time within a period. */
 function wasAway({faultPeriods, events}: History, instance: string, from: Milliseconds, until: Milliseconds): boolean {
 	const absences = [...faultPeriods.filter(({kind}) => kind === 'killed' || kind === 'frozen'), ...events.filter(event => event.kind === 'stop-requested')];
 	return absences.some(absence => absence.instance === instance && absence.at <= until && absence.until >= from);
 }
 
-/** Whether an instance had passed on a response with a statement before a time, and was not away since then. */
-function wasTold(history: History, instance: string, before: Milliseconds, hasStatement: (request: RequestRecord) => boolean): boolean {
+/** Whether an instance had passed on a response with a statement before a time, and was not away from then until a request reached the endpoint. */
+function wasTold(history: History, {request: {instance}, received}: Arrival, before: Milliseconds, hasStatement: (request: RequestRecord) => boolean): boolean {
 	return history.requests.some(request => request.instance === instance && request.endedAt <= before && hasStatement(request)
-		&& !wasAway(history, instance, request.endedAt, before + bounds.tellMs + bounds.drainingMs));
+		&& !wasAway(history, instance, request.endedAt, received.receivedAt));
 }
 
 /** Requests that reached an endpoint, without those that a fault of its connections may have held up. */
-function findArrivals(history: History, endpoint: string): Array<{request: RequestRecord; received: ReceivedRequestRecord}> {
+function findArrivals(history: History, endpoint: string): Arrival[] {
 	const requestsById = new Map(history.requests.map(request => [request.requestId, request]));
-	const heldUp = history.faultPeriods.filter(({kind}) => kind === 'endpoint-connections');
+	const heldUp = history.faultPeriods.filter(period => period.kind === 'endpoint-connections' && period.endpoint === endpoint);
 	return history.receivedRequests.flatMap(received => {
 		const request = requestsById.get(received.requestId);
 		const isHeldUp = heldUp.some(({at, until}) => at <= received.receivedAt && until >= received.receivedAt - bounds.contactLossMs);
@@ -255,8 +257,8 @@
 		return eventsOf(history, 'endpoint-limited').flatMap(({endpoint, perSecond, at, until}) => {
 			const allowed = (1.5 * perSecond * limitWindowMs / secondMs) + limitSlack;
 			const times = findArrivals(history, endpoint)
-				.filter(({request, received}) => received.receivedAt >= at + bounds.contactLossMs && received.receivedAt <= until
-					&& wasTold(history, request.instance, received.receivedAt - bounds.tellMs, ({statement}) => statement?.endpoint === endpoint && statement.hasLimit))
+				.filter(arrival => arrival.received.receivedAt >= at + bounds.contactLossMs && arrival.received.receivedAt <= until
+					&& wasTold(history, arrival, arrival.received.receivedAt - bounds.tellMs, ({statement}) => statement?.endpoint === endpoint && statement.hasLimit))
 				.map(({received}) => received.receivedAt);
 			const most = Math.max(0, ...times.map(from => times.filter(time => time >= from && time < from + limitWindowMs).length));
 			return most > allowed ? [`${endpoint} named ${perSecond} requests a second and got ${most} in ${limitWindowMs} ms, of ${allowed} allowed`] : [];
@@ -264,14 +266,14 @@
 	},
 	'stated-leaving-unused'(history) {
 		return eventsOf(history, 'endpoint-states-leaving').flatMap(({endpoint, until}) => findArrivals(history, endpoint)
-			.filter(({request, received}) => received.receivedAt <= until
-				&& wasTold(history, request.instance, request.sentAt - bounds.drainingMs, ({statement}) => statement?.endpoint === endpoint && statement.isLeaving))
+			.filter(arrival => arrival.received.receivedAt <= until
+				&& wasTold(history, arrival, arrival.request.sentAt - bounds.drainingMs, ({statement}) => statement?.endpoint === endpoint && statement.isLeaving))
 			.map(({request}) => `${request.requestId} reached ${endpoint}, which had stated to ${request.instance} that it leaves`));
 	},
 	'retry-time-kept'(history) {
-		return history.receivedRequests.filter(({retryAfterMs}) => retryAfterMs !== undefined).flatMap(({requestId, endpoint, receivedAt, retryAfterMs}) => {
+		return history.receivedRequests.filter(({retryAfterMs}) => retryAfterMs !== undefined).flatMap(({requestId, endpoint, start, receivedAt, retryAfterMs}) => {
 			const instance = history.requests.find(request => request.requestId === requestId)?.instance;
-			const later = findArrivals(history, endpoint).filter(({request, received}) => request.instance === instance
+			const later = findArrivals(history, endpoint).filter(({request, received}) => request.instance === instance && received.start === start
 				&& received.receivedAt > receivedAt + bounds.tellMs && received.receivedAt < receivedAt + retryAfterMs!
 				&& !wasAway(history, request.instance, receivedAt, received.receivedAt));
 			return later.length > requestsInRetryTime ? [`${endpoint} got ${later.length} requests of ${instance} within ${retryAfterMs} ms after it had turned ${requestId} away`] : [];
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -207,9 +207,9 @@
 		});
 	},
 	async endpointConnections(site, random) {
-		const {proxy} = random.pick(site.endpoints)!;
+		const {id, proxy} = random.pick(site.endpoints)!;
 		const fault = pickConnectionFault(random, delayRanges.endpoint);
-		await recordFaultPeriod(site, {kind: 'endpoint-connections'}, async () => applyProxyFault(proxy, fault, random.integer(200, 2500)));
+		await recordFaultPeriod(site, {kind: 'endpoint-connections', endpoint: id}, async () => applyProxyFault(proxy, fault, random.integer(200, 2500)));
 	},
 	async resetEndpointConnections(site, random) {
 		await recordFaultPeriod(site, {kind: 'endpoint-resets'}, async () => {
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -40,6 +40,8 @@
 export type ReceivedRequestRecord = {
 	readonly requestId: string;
 	readonly endpoint: string;
+	/** Number of the endpoint's start among all starts. */
+	readonly start: number;
 	readonly service: string;
 	readonly availabilityZone: string;
 	readonly receivedAt: Milliseconds;
@@ -68,6 +70,8 @@
 export type FaultPeriod = {
 	readonly kind: string;
 	readonly instance?: string;
+	/** Set when it concerns the connections to one endpoint. */
+	readonly endpoint?: string;
 	readonly at: Milliseconds;
 	until: Milliseconds;
 };
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -346,8 +346,8 @@
 	}
 
 	receivedRequests(): ReceivedRequestRecord[] {
-		return this.#endpointStarts.flatMap(({endpoint, standIn}) => standIn.receivedRequests.map(({requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt}) => ({
-			requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt, endpoint: endpoint.id, service: endpoint.service, availabilityZone: endpoint.availabilityZone,
+		return this.#endpointStarts.flatMap(({endpoint, standIn}, start) => standIn.receivedRequests.map(({requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt}) => ({
+			requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt, start, endpoint: endpoint.id, service: endpoint.service, availabilityZone: endpoint.availabilityZone,
 		})));
 	}
 
@@ -464,7 +464,6 @@
 		this.instances.push(instance);
 	}
 
-	/** Reads readiness as the load balancer does. */
 	/** An instance that could not read the store meanwhile gets the time again: without a configuration it may not be ready. */
 	async #waitUntilInstanceReady(instance: Instance): Promise<void> {
 		for (;;) {
@@ -481,6 +480,7 @@
 		}
 	}
 
+	/** Reads readiness as the load balancer does. */
 	async #waitForReadiness({host}: Instance): Promise<void> {
 		await waitFor(async () => {
 			const response = await fetch(`http://${host}:${instancePorts.readiness}${platformProtocol.readinessPath}`, {signal: AbortSignal.timeout(1000)});
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -215,17 +215,19 @@
 
 	#send(attempt: Attempt, endpoint: EndpointRecord): void {
 		const {context, request} = this;
+		const headers = context.protocol.encodeEndpointHeaders({
+			rawHeaders: request.rawHeaders,
+			endpointId: endpoint.id,
+			remainingMs: Math.max(1, Math.floor(this.#deadlineAt - attempt.sentAt)),
+			workspace: request.workspace,
+			lastEventId: this.#lastEventId,
+		});
 		attempt.exchange = Exchange.start({
+			// Only the exchange releases the connection, so nothing that may fail comes between.
 			connection: context.acquireConnection(endpoint, this.#isRetryable()),
 			method: request.method,
 			path: request.path,
-			headers: context.protocol.encodeEndpointHeaders({
-				rawHeaders: request.rawHeaders,
-				endpointId: endpoint.id,
-				remainingMs: Math.max(1, Math.floor(this.#deadlineAt - attempt.sentAt)),
-				workspace: request.workspace,
-				lastEventId: this.#lastEventId,
-			}),
+			headers,
 			body: request.body,
 			maySend: () => {
 				const maySend = !this.#isEnded && this.#attempt === attempt && context.maySend(endpoint);
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -143,7 +143,7 @@
 			send: outgoing => {
 				this.#heartbeats.send(outgoing);
 			},
-			onPermitted: () => {
+			onGranted: () => {
 				this.#schedulers.dispatchWaiting();
 			},
 			onStatement: kind => {
@@ -393,7 +393,7 @@
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
 		const availabilityZone = this.#site.endpoints.get(endpoint.id)?.availabilityZone;
-		return this.#isServing(endpoint) && this.#restrictions.takesRequests(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
+		return this.#isServing(endpoint) && this.options.clock.now() >= this.#restrictions.retryAt(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
 
@@ -520,7 +520,7 @@
 			quarantineEntries: this.#containment.status().length,
 			limitedEndpoints: statements.filter(({limit}) => limit !== undefined).length,
 			leavingEndpoints: statements.filter(({leaving}) => leaving !== undefined).length,
-			waitingEndpoints: statements.filter(({waitsForMs}) => waitsForMs !== undefined).length,
+			endpointsWithRetryTime: statements.filter(({retryInMs}) => retryInMs !== undefined).length,
 		});
 	}
 
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -19,7 +19,7 @@
 	readonly quarantineEntries: number;
 	readonly limitedEndpoints: number;
 	readonly leavingEndpoints: number;
-	readonly waitingEndpoints: number;
+	readonly endpointsWithRetryTime: number;
 };
 
 /** Counters, gauges and histograms of one gateway process. */
@@ -73,7 +73,7 @@
 		endpointConnections: new Gauge({name: 'jackdawfork_endpoint_connections', help: 'Open connections to endpoints', registers: [this.#registry]}),
 		limitedEndpoints: new Gauge({name: 'jackdawfork_limited_endpoints', help: 'Endpoints that name a limit of requests a second', registers: [this.#registry]}),
 		leavingEndpoints: new Gauge({name: 'jackdawfork_leaving_endpoints', help: 'Endpoints that have stated in a response that they leave', registers: [this.#registry]}),
-		waitingEndpoints: new Gauge({name: 'jackdawfork_endpoints_with_retry_time', help: 'Endpoints that want no requests from this instance now', registers: [this.#registry]}),
+		endpointsWithRetryTime: new Gauge({name: 'jackdawfork_endpoints_with_retry_time', help: 'Endpoints that want no requests from this instance now', registers: [this.#registry]}),
 		quarantineEntries: new Gauge({name: 'jackdawfork_quarantine_entries', help: 'Prompt parts, or sets of them, whose requests are withheld because they crash endpoints', registers: [this.#registry]}),
 	} as const;
 
--- a/src/gateway/permits/permit-arbiter.ts
+++ b/src/gateway/permits/permit-arbiter.ts
@@ -7,10 +7,10 @@
 /** Time over which unused permits accrue, beyond the first one. */
 const accrualMs: Milliseconds = 250;
 
-/** Rate for an endpoint that takes fewer requests, or none: some request has to find out whether it still does. */
+/** Rate for an endpoint that names a lower limit, also 0: only the response to a request shows when it takes more. */
 const minimumPerSecond = 0.25;
 
-/** Factor by which the instances that are heard may exceed their share of a limit, in proportion to the members. It keeps the whole limit in use after the loss of a few; all parts of a divided fleet together use at most this multiple. */
+/** Factor on the share of a limit that the heard instances have by their number. Above 1, the whole limit stays in use when a few instances are lost; the parts of a divided fleet together exceed it by this factor. */
 const presentShareFactor = 1.2;
 
 export type PermitArbiterOptions = {
@@ -20,7 +20,7 @@
 	readonly isArbiterOf: (start: EndpointStart) => boolean;
 	/** Instances that are heard, as a fraction of the members. */
 	readonly presentRatio: () => number;
-	/** How long a request for permits waits. */
+	/** Time for which a request for permits is kept. */
 	readonly waitMs: () => Milliseconds;
 };
 
@@ -35,7 +35,7 @@
 	readonly waiting: Map<string, WaitingRequest>;
 };
 
-export type GrantTo = {readonly host: string; readonly grant: PermitGrant};
+export type AddressedGrant = {readonly host: string; readonly grant: PermitGrant};
 
 /**
 Gives permits to send requests to endpoints that limit them, at the rate of each limit.
@@ -52,7 +52,7 @@
 	private constructor(private readonly options: PermitArbiterOptions) {}
 
 	/** Adds a request to those that wait. Returns the grants that are due, which may be for others that came before. */
-	receive(request: PermitRequest, host: string, now: Milliseconds): GrantTo[] {
+	receive(request: PermitRequest, host: string, now: Milliseconds): AddressedGrant[] {
 		const {start, count} = request;
 		if (!this.options.isArbiterOf(start)) {
 			return [];
@@ -68,25 +68,15 @@
 		return this.#grantWaiting(bucket, now);
 	}
 
-	/**
-	Returns the grants for requests that have waited. Called periodically.
-
-	@param limited all endpoints that name a limit
-	*/
-	tick(limited: readonly EndpointStart[], now: Milliseconds): GrantTo[] {
-		const ownKeys = new Set<string>();
-		const grants: GrantTo[] = [];
-		for (const start of limited) {
+	/** Returns the grants for requests that have waited. Called periodically. */
+	tick(now: Milliseconds): AddressedGrant[] {
+		const grants: AddressedGrant[] = [];
+		for (const [key, {start}] of this.#buckets) {
 			const limit = this.options.findLimit(start);
-			if (limit !== undefined && this.options.isArbiterOf(start)) {
-				ownKeys.add(startKey(start));
-				grants.push(...this.#grantWaiting(this.#refill(start, limit, now), now));
-			}
-		}
-
-		for (const key of this.#buckets.keys()) {
-			if (!ownKeys.has(key)) {
+			if (limit === undefined || !this.options.isArbiterOf(start)) {
 				this.#buckets.delete(key);
+			} else {
+				grants.push(...this.#grantWaiting(this.#refill(start, limit, now), now));
 			}
 		}
 
@@ -110,8 +100,8 @@
 		return bucket;
 	}
 
-	#grantWaiting(bucket: Bucket, now: Milliseconds): GrantTo[] {
-		const grants: GrantTo[] = [];
+	#grantWaiting(bucket: Bucket, now: Milliseconds): AddressedGrant[] {
+		const grants: AddressedGrant[] = [];
 		for (const [host, {request, until}] of bucket.waiting) {
 			if (now > until) {
 				bucket.waiting.delete(host);
--- a/src/gateway/permits/permit-exchange.ts
+++ b/src/gateway/permits/permit-exchange.ts
@@ -1,19 +1,19 @@
-import type {Milliseconds} from '../../shared/clock.js';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
 import type {PeerGroup} from '../membership/peer-group.js';
 import type {EndpointStatements} from '../statements/endpoint-statements.js';
 import {startKey, type EndpointStart} from '../statements/types.js';
-import {PermitArbiter, type GrantTo} from './permit-arbiter.js';
+import {PermitArbiter, type AddressedGrant} from './permit-arbiter.js';
 import {encodePermitGrant, encodePermitRequest} from './permit-codec.js';
 import {PermitHolder} from './permit-holder.js';
 import type {PermitGrant, PermitRequest, ReceivedPermitRequest} from './types.js';
 
-/** Time for which a request for permits waits before it is made again, and time that each member adds to it. */
+/** Time in which a grant is expected: it follows the number of members, within bounds. */
 const minimumWaitMs: Milliseconds = 300;
 const waitPerMemberMs: Milliseconds = 4;
 const maximumWaitMs: Milliseconds = 1000;
 
-/** Time for which the instance that gives permits keeps a request, as a ratio of the time after which it is repeated. */
+/** Time for which the arbiter keeps a request, as a ratio of the time in which its grant is expected. A repeated request comes before that and keeps its place. */
 const keptRatio = 1.3;
 
 /** Time of a limit for which permits are requested together, and largest number of them. */
@@ -26,7 +26,7 @@
 	readonly ownHost: string;
 	readonly peers: PeerGroup;
 	readonly statements: EndpointStatements;
-	readonly now: () => Milliseconds;
+	readonly clock: Clock;
 	readonly send: (outgoing: readonly OutgoingDatagram[]) => void;
 	/** Called when permits have arrived, so that waiting requests can use them. */
 	readonly onGranted: () => void;
@@ -42,36 +42,36 @@
 	readonly #holder = PermitHolder.create();
 
 	private constructor(private readonly options: PermitExchangeOptions) {
-		const {ownHost, peers, statements, now} = options;
+		const {ownHost, peers, statements, clock} = options;
 		this.#arbiter = PermitArbiter.create({
 			findLimit: start => statements.findLimit(start)?.perSecond,
-			isArbiterOf: start => peers.knowsMembers(now()) && peers.findArbiter(startKey(start), now()) === ownHost,
+			isArbiterOf: start => peers.knowsMembers(clock.now()) && peers.findArbiter(startKey(start), clock.now()) === ownHost,
 			presentRatio: () => peers.presentRatio(),
 			waitMs: () => this.#waitMs * keptRatio,
 		});
 	}
 
-	/** Whether this instance may send a request to an endpoint that names a limit. If not, permission is requested. */
-	has(start: EndpointStart): boolean {
-		const {now} = this.options;
-		if (!this.#holder.has(start, now())) {
+	/** Asks for permits unless this instance holds one. Returns whether it does now. */
+	ensure(start: EndpointStart): boolean {
+		const {clock} = this.options;
+		if (!this.#holder.has(start, clock.now())) {
 			this.#request(start);
 		}
 
-		return this.#holder.has(start, now());
+		return this.#holder.has(start, clock.now());
 	}
 
 	/** Uses one permit. Returns false when there is none. */
 	take(start: EndpointStart): boolean {
-		return this.#holder.take(start, this.options.now());
+		return this.#holder.take(start, this.options.clock.now());
 	}
 
 	/** Processes a request of another instance. Returns what is to be sent in response. */
 	receiveRequest({limit: {ageMs, ...limit}, ...request}: ReceivedPermitRequest, sender: string): OutgoingDatagram[] {
-		const {statements, now} = this.options;
-		const received = {...limit, heardAt: now() - ageMs};
+		const {statements, clock} = this.options;
+		const received = {...limit, heardAt: clock.now() - ageMs};
 		statements.receive([{...request.start, ...received, kind: 'limit'}]);
-		return this.#deliver(this.#arbiter.receive({...request, limit: received}, sender, now()));
+		return this.#deliver(this.#arbiter.receive({...request, limit: received}, sender, clock.now()));
 	}
 
 	receiveGrant(grant: PermitGrant): void {
@@ -80,13 +80,13 @@
 
 	/** Returns the grants for instances that have waited. Called periodically. */
 	tick(): OutgoingDatagram[] {
-		const limited = this.options.statements.limitedStarts();
-		this.#holder.retain(limited);
-		return this.#deliver(this.#arbiter.tick(limited, this.options.now()));
+		const {statements, clock} = this.options;
+		this.#holder.retain(start => statements.findLimit(start) !== undefined);
+		return this.#deliver(this.#arbiter.tick(clock.now()));
 	}
 
 	/** Applies the grants for this instance, and returns what is to be sent to the others. */
-	#deliver(grants: readonly GrantTo[]): OutgoingDatagram[] {
+	#deliver(grants: readonly AddressedGrant[]): OutgoingDatagram[] {
 		if (this.#keepOwn(grants)) {
 			this.options.onGranted();
 		}
@@ -95,13 +95,13 @@
 	}
 
 	/** Returns whether this instance has got permits. */
-	#keepOwn(grants: readonly GrantTo[]): boolean {
+	#keepOwn(grants: readonly AddressedGrant[]): boolean {
 		const own = grants.filter(({host}) => host === this.options.ownHost);
-		const received = own.filter(({grant}) => this.#holder.receive(grant, this.#waitMs, this.options.now()));
+		const received = own.filter(({grant}) => this.#holder.receive(grant, this.#waitMs, this.options.clock.now()));
 		return received.length > 0;
 	}
 
-	#encodeOthers(grants: readonly GrantTo[]): OutgoingDatagram[] {
+	#encodeOthers(grants: readonly AddressedGrant[]): OutgoingDatagram[] {
 		return grants.filter(({host}) => host !== this.options.ownHost).map(({host, grant}) => ({datagram: encodePermitGrant(grant), targets: [host]}));
 	}
 
@@ -110,9 +110,9 @@
 	}
 
 	#request(start: EndpointStart): void {
-		const {ownHost, peers, statements, send, now} = this.options;
+		const {ownHost, peers, statements, send, clock} = this.options;
 		const limit = statements.findLimit(start);
-		const sequence = limit === undefined ? undefined : this.#holder.open(start, this.#waitMs, now());
+		const sequence = limit === undefined ? undefined : this.#holder.open(start, this.#waitMs, clock.now());
 		if (limit === undefined || sequence === undefined) {
 			return;
 		}
@@ -121,13 +121,13 @@
 		const request: PermitRequest = {
 			start, sequence, count, limit,
 		};
-		const arbiterHost = peers.findArbiter(startKey(start), now());
+		const arbiterHost = peers.findArbiter(startKey(start), clock.now());
 		if (arbiterHost !== ownHost) {
-			send([{datagram: encodePermitRequest(request, now()), targets: [arbiterHost]}]);
+			send([{datagram: encodePermitRequest(request, clock.now()), targets: [arbiterHost]}]);
 			return;
 		}
 
-		const grants = this.#arbiter.receive(request, ownHost, now());
+		const grants = this.#arbiter.receive(request, ownHost, clock.now());
 		// The caller uses the permit itself.
 		this.#keepOwn(grants);
 		send(this.#encodeOthers(grants));
--- a/src/gateway/permits/permit-holder.ts
+++ b/src/gateway/permits/permit-holder.ts
@@ -2,18 +2,19 @@
 import {startKey, type EndpointStart} from '../statements/types.js';
 import type {PermitGrant} from './types.js';
 
-/** Time for which a permit is valid beyond the time that its request may wait. It counts from the request, so that a grant that is read late permits nothing. */
+/** Time for which a permit is valid beyond the time in which it is expected. It counts from the request, so that a grant that is read late permits nothing. */
 const validityMs: Milliseconds = 300;
 
 /** Endpoints for which requests for permits may wait at a time. */
 const maximumOpenRequests = 8;
 
-/** Time after which a request is repeated, as a ratio of the time for which it waits. */
+/** Time after which a request is repeated, as a ratio of the time in which its grant is expected. */
 const repeatRatio = 1.1;
 
 type OpenRequest = {readonly sequence: number; readonly sentAt: Milliseconds};
 
 type Holding = {
+	readonly start: EndpointStart;
 	permits: Array<{count: number; readonly expiresAt: Milliseconds}>;
 	/** Requests that may still be answered in time, oldest first. */
 	openRequests: OpenRequest[];
@@ -77,10 +78,9 @@
 	}
 
 	/** Forgets what concerns endpoints without a limit. */
-	retain(limited: readonly EndpointStart[]): void {
-		const keys = new Set(limited.map(start => startKey(start)));
-		for (const key of this.#holdings.keys()) {
-			if (!keys.has(key)) {
+	retain(isLimited: (start: EndpointStart) => boolean): void {
+		for (const [key, {start}] of this.#holdings) {
+			if (!isLimited(start)) {
 				this.#holdings.delete(key);
 			}
 		}
@@ -105,7 +105,9 @@
 		const key = startKey(start);
 		let holding = this.#holdings.get(key);
 		if (holding === undefined) {
-			holding = {permits: [], openRequests: [], nextRequestAt: -Infinity};
+			holding = {
+				start, permits: [], openRequests: [], nextRequestAt: -Infinity,
+			};
 			this.#holdings.set(key, holding);
 		}
 
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -213,7 +213,7 @@
 
 			const {selected, others} = this.#selectPermitted(this.#candidates(request, now), request, now);
 			if (selected === undefined) {
-				if (others.length > 0 || this.#refuseIfAllWait(request, now)) {
+				if (others.length > 0 || this.#refuseIfUnavailable(request, now)) {
 					continue;
 				}
 
@@ -242,12 +242,12 @@
 		}
 	}
 
-	/** Selects the best endpoint that may get a request now. Permission is asked for the limited ones that would be better, because the next request is likely to find them so, too. */
+	/** Selects the best endpoint that may get a request now. Asks for permission for the limited ones that would be better, because the next request is likely to prefer them, too. */
 	#selectPermitted(candidates: readonly Candidate[], request: WaitingRequest, now: Milliseconds): {readonly selected?: Candidate; readonly others: readonly Candidate[]} {
 		let others = candidates;
 		for (;;) {
 			const selected = this.#selectEndpoint(others, request, now);
-			if (selected === undefined || this.#isPermitted(this.#loads.get(selected.endpointId)!.record)) {
+			if (selected === undefined || this.#ensurePermission(this.#loads.get(selected.endpointId)!.record)) {
 				return {selected, others};
 			}
 
@@ -282,11 +282,11 @@
 	}
 
 	/** Refuses a request if no endpoint takes requests of this instance again before its latest dispatch time. Returns whether it was refused. */
-	#refuseIfAllWait(request: WaitingRequest, now: Milliseconds): boolean {
+	#refuseIfUnavailable(request: WaitingRequest, now: Milliseconds): boolean {
 		let availableAt = Infinity;
 		for (const {record} of this.#loads.values()) {
 			if (!this.#isLeaving(record) && !this.#evacuatedZones.has(record.availabilityZone) && !request.excluded.has(record.id)) {
-				availableAt = Math.min(availableAt, this.options.restrictions.waitsUntil(record));
+				availableAt = Math.min(availableAt, this.options.restrictions.retryAt(record));
 			}
 		}
 
@@ -336,15 +336,15 @@
 		return candidates;
 	}
 
-	#isPermitted(record: EndpointRecord): boolean {
+	#ensurePermission(record: EndpointRecord): boolean {
 		const {restrictions} = this.options;
-		return !restrictions.isLimited(record) || restrictions.hasPermit(record);
+		return !restrictions.isLimited(record) || restrictions.ensurePermit(record);
 	}
 
 	/** Whether an endpoint accepts new requests, apart from limits and free slots. */
 	#acceptsRequests(load: EndpointLoad, now: Milliseconds): boolean {
 		return !this.#isLeaving(load.record) && !this.#evacuatedZones.has(load.record.availabilityZone) && !load.isPaused(now)
-			&& now >= this.options.restrictions.waitsUntil(load.record);
+			&& now >= this.options.restrictions.retryAt(load.record);
 	}
 
 	#isLeaving(record: EndpointRecord): boolean {
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -47,11 +47,11 @@
 /** How endpoints restrict their use by what they have stated in responses. */
 export type EndpointRestrictions = {
 	isLeaving(endpoint: EndpointRecord): boolean;
-	/** Until when it wants no requests from this instance; in the past when it takes them. */
-	waitsUntil(endpoint: EndpointRecord): Milliseconds;
+	/** When it takes requests of this instance again; in the past when it does now. */
+	retryAt(endpoint: EndpointRecord): Milliseconds;
 	/** Whether it limits the requests of all instances together. */
 	isLimited(endpoint: EndpointRecord): boolean;
-	/** Whether this instance may send a request to a limited endpoint now. If not, it asks for permission, and waiting requests are dispatched when that arrives. */
-	hasPermit(endpoint: EndpointRecord): boolean;
+	/** Asks for permission to send a request to a limited endpoint unless this instance has it. Returns whether it has it now; when it arrives later, waiting requests are dispatched. */
+	ensurePermit(endpoint: EndpointRecord): boolean;
 	takePermit(endpoint: EndpointRecord): void;
 };
--- a/src/gateway/statements/endpoint-statements.ts
+++ b/src/gateway/statements/endpoint-statements.ts
@@ -36,7 +36,7 @@
 	readonly leaving?: HeardStatement;
 	readonly limit?: HeardStatement & {readonly perSecond: number};
 	/** Time for which it wants no requests from this instance. */
-	readonly waitsForMs?: Milliseconds;
+	readonly retryInMs?: Milliseconds;
 };
 
 type Entry = {
@@ -45,8 +45,8 @@
 	limit?: LimitReport;
 	/** The last report of the limit that all instances were told, by whichever of them. */
 	toldLimit?: LimitReport;
-	/** Until when it wants no requests from this instance. */
-	waitsUntil: Milliseconds;
+	/** When it takes requests of this instance again. */
+	retryAt: Milliseconds;
 	lastHeardAt: Milliseconds;
 	readonly rejectedValues: Set<string>;
 };
@@ -126,33 +126,28 @@
 		return limit?.perSecond === undefined ? undefined : {perSecond: limit.perSecond, heardBy: limit.heardBy, heardAt: limit.heardAt};
 	}
 
-	/** All endpoints that name a limit. */
-	limitedStarts(): EndpointStart[] {
-		return [...this.#entries.values()].filter(({limit}) => limit?.perSecond !== undefined).map(({start}) => start);
-	}
-
-	/** Until when an endpoint wants no requests from this instance. It tells each instance separately, so the others are not told. */
-	waitsUntil(start: EndpointStart): Milliseconds {
-		return this.#entries.get(startKey(start))?.waitsUntil ?? -Infinity;
+	/** When an endpoint takes requests of this instance again. It tells each instance separately, so the others are not told. */
+	retryAt(start: EndpointStart): Milliseconds {
+		return this.#entries.get(startKey(start))?.retryAt ?? -Infinity;
 	}
 
 	/** What holds now, for operators. */
 	status(isListed: (start: EndpointStart) => boolean): StatementStatus[] {
 		const now = this.options.clock.now();
-		return [...this.#entries.values()].filter(({start}) => isListed(start)).map(({start, leaving, limit, waitsUntil}) => ({
+		return [...this.#entries.values()].filter(({start}) => isListed(start)).map(({start, leaving, limit, retryAt}) => ({
 			endpoint: start.id,
 			startedAt: start.startedAt,
 			...(leaving !== undefined && {leaving: {heardBy: leaving.heardBy, ageMs: this.#ageMs(leaving)}}),
 			...(limit?.perSecond !== undefined && {limit: {perSecond: limit.perSecond, heardBy: limit.heardBy, ageMs: this.#ageMs(limit)}}),
-			...(now < waitsUntil && {waitsForMs: Math.round(waitsUntil - now)}),
-		})).filter(({leaving, limit, waitsForMs}) => leaving !== undefined || limit !== undefined || waitsForMs !== undefined);
+			...(now < retryAt && {retryInMs: Math.round(retryAt - now)}),
+		})).filter(({leaving, limit, retryInMs}) => leaving !== undefined || limit !== undefined || retryInMs !== undefined);
 	}
 
 	/** Forgets what concerns endpoints that are gone. Called periodically. */
 	expire(isListed: (start: EndpointStart) => boolean): void {
 		const now = this.options.clock.now();
-		for (const [key, {start, lastHeardAt, waitsUntil}] of this.#entries) {
-			if (now - lastHeardAt > forgottenAfterMs && now >= waitsUntil && !isListed(start)) {
+		for (const [key, {start, lastHeardAt, retryAt}] of this.#entries) {
+			if (now - lastHeardAt > forgottenAfterMs && now >= retryAt && !isListed(start)) {
 				this.#entries.delete(key);
 			}
 		}
@@ -165,8 +160,8 @@
 		const entry = this.#entry(start);
 		const now = clock.now();
 		entry.lastHeardAt = now;
-		if (now + retryAfterMs > entry.waitsUntil) {
-			entry.waitsUntil = now + retryAfterMs;
+		if (now + retryAfterMs > entry.retryAt) {
+			entry.retryAt = now + retryAfterMs;
 			log.event('endpoint-states-retry-time', {endpoint: start.id, startedAt: start.startedAt, retryAfterMs: Math.round(retryAfterMs)});
 		}
 	}
@@ -233,7 +228,7 @@
 		let entry = this.#entries.get(key);
 		if (entry === undefined) {
 			entry = {
-				start: {id: start.id, startedAt: start.startedAt}, waitsUntil: -Infinity, lastHeardAt: this.options.clock.now(), rejectedValues: new Set(),
+				start: {id: start.id, startedAt: start.startedAt}, retryAt: -Infinity, lastHeardAt: this.options.clock.now(), rejectedValues: new Set(),
 			};
 			this.#entries.set(key, entry);
 			const [oldestKey] = this.#entries.keys();
--- a/src/gateway/statements/stated-restrictions.ts
+++ b/src/gateway/statements/stated-restrictions.ts
@@ -18,7 +18,7 @@
 	readonly isListed: (start: EndpointStart) => boolean;
 	readonly send: (outgoing: readonly OutgoingDatagram[]) => void;
 	/** Called when requests that wait for permission may be sent. */
-	readonly onPermitted: () => void;
+	readonly onGranted: () => void;
 	/** Called with the name of each kind of statement that was received. */
 	readonly onStatement: (kind: string) => void;
 	/** Returns a random number from 0 to below 1. */
@@ -36,7 +36,7 @@
 	readonly #statements: EndpointStatements;
 
 	private constructor(private readonly options: StatedRestrictionsOptions) {
-		const {ownHost, clock, log, peers, send, onPermitted, onStatement, random} = options;
+		const {ownHost, clock, log, peers, send, onGranted, onStatement, random} = options;
 		this.#statements = EndpointStatements.create({
 			ownHost,
 			clock,
@@ -50,7 +50,7 @@
 			peers, ownHost, statements: this.#statements, random,
 		});
 		this.permits = PermitExchange.create({
-			ownHost, peers, statements: this.#statements, now: () => clock.now(), send, onGranted: onPermitted,
+			ownHost, peers, statements: this.#statements, clock, send, onGranted,
 		});
 	}
 
@@ -67,13 +67,8 @@
 		return this.#statements.isLeaving(start);
 	}
 
-	waitsUntil(start: EndpointStart): Milliseconds {
-		return this.#statements.waitsUntil(start);
-	}
-
-	/** Whether an endpoint takes requests of this instance, apart from its limit. */
-	takesRequests(start: EndpointStart): boolean {
-		return !this.isLeaving(start) && this.options.clock.now() >= this.waitsUntil(start);
+	retryAt(start: EndpointStart): Milliseconds {
+		return this.#statements.retryAt(start);
 	}
 
 	findLimit(start: EndpointStart): LimitStatement | undefined {
@@ -84,8 +79,8 @@
 		return this.findLimit(start) !== undefined;
 	}
 
-	hasPermit(start: EndpointStart): boolean {
-		return this.permits.has(start);
+	ensurePermit(start: EndpointStart): boolean {
+		return this.permits.ensure(start);
 	}
 
 	takePermit(start: EndpointStart): void {
--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -128,7 +128,7 @@
 	readonly receivedRequests: ReceivedRequest[] = [];
 	/** Each applies to one request, in order; later requests get a normal response. */
 	readonly faults: EndpointFault[] = [];
-	/** Headers that all responses carry, and those that only rejections carry. */
+	/** Headers that successes and rejections carry, and those that only rejections carry. Errors carry neither. */
 	statedHeaders: Record<string, string> = {};
 	rejectionHeaders: Record<string, string> = {};
 	#server!: StandInServer;
--- a/test/gateway/permits/permit-group.test.ts
+++ b/test/gateway/permits/permit-group.test.ts
@@ -67,7 +67,7 @@
 
 			for (const [endpoint, arrivals] of this.arrivals.entries()) {
 				const start = endpointNumber(endpoint);
-				if ((this.#waiting.get(host) ?? 0) > 0 && permits.has(start) && permits.take(start)) {
+				if ((this.#waiting.get(host) ?? 0) > 0 && permits.ensure(start) && permits.take(start)) {
 					this.#waiting.set(host, this.#waiting.get(host)! - 1);
 					arrivals.push(group.now + (transitMs * random()));
 					statements.record(start, {isLeaving: false, requestsPerSecond: this.demand.limit, unreadable: {}}, group.now);
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -260,7 +260,7 @@
 test('a request goes to an endpoint that takes requests while another one wants none', t => {
 	const {clock, scheduler} = createScheduler({
 		records: [createEndpoint(), createEndpoint({id: 'engine-2'})],
-		restrictions: {waitsUntil: ({id}) => id === 'engine-1' ? 60_000 : -Infinity},
+		restrictions: {retryAt: ({id}) => id === 'engine-1' ? 60_000 : -Infinity},
 	});
 	const requests = [0, 1, 2].map(() => request(clock));
 	for (const each of requests) {
@@ -274,7 +274,7 @@
 test('a request is refused at once when all endpoints want none for longer than it can wait, and its caller may return when one does again', t => {
 	const {clock, scheduler} = createScheduler({
 		records: [createEndpoint(), createEndpoint({id: 'engine-2'})],
-		restrictions: {waitsUntil: ({id}) => id === 'engine-1' ? 60_000 : 40_000},
+		restrictions: {retryAt: ({id}) => id === 'engine-1' ? 60_000 : 40_000},
 	});
 	const waiting = request(clock);
 	scheduler.submit(waiting);
@@ -286,7 +286,7 @@
 
 test('a request waits for an endpoint that takes requests again in time', t => {
 	const until = 10_200;
-	const {clock, scheduler} = createScheduler({restrictions: {waitsUntil: () => until}});
+	const {clock, scheduler} = createScheduler({restrictions: {retryAt: () => until}});
 	const waiting = request(clock);
 	scheduler.submit(waiting);
 	t.deepEqual([waiting.refusals, waiting.dispatchedTo], [[], []]);
@@ -301,7 +301,7 @@
 		records: [createEndpoint({slots: 8}), createEndpoint({id: 'engine-2', slots: 2})],
 		restrictions: {
 			isLimited: ({id}) => id === 'engine-1',
-			hasPermit: () => permits > 0,
+			ensurePermit: () => permits > 0,
 			takePermit() {
 				permits--;
 			},
@@ -336,7 +336,7 @@
 		peerInFlight: {'engine-1': 4},
 		restrictions: {
 			isLimited: () => true,
-			hasPermit() {
+			ensurePermit() {
 				asked++;
 				return false;
 			},
@@ -354,7 +354,7 @@
 		peerInFlight: {'engine-1': 3, 'engine-3': 1},
 		restrictions: {
 			isLimited: ({id}) => id !== 'engine-3',
-			hasPermit({id}) {
+			ensurePermit({id}) {
 				asked.push(id);
 				return false;
 			},
--- a/test/gateway/statements/endpoint-statements.test.ts
+++ b/test/gateway/statements/endpoint-statements.test.ts
@@ -81,17 +81,17 @@
 // Guards against an endpoint that gets requests again because a later response asked for a shorter time.
 test('of several retry times the one that ends last counts', t => {
 	const {statements, clock, news, memoryLog} = createStatements();
-	t.is(statements.waitsUntil(start), -Infinity);
+	t.is(statements.retryAt(start), -Infinity);
 	statements.record(start, {...nothing, retryAfterMs: 4000}, clock.now());
 	clock.advance(1000);
 	statements.record(start, {...nothing, retryAfterMs: 500}, clock.now());
 	statements.record(start, nothing, clock.now());
-	t.is(statements.waitsUntil(start), 14_000);
-	t.is(statements.waitsUntil({...start, startedAt: 8}), -Infinity);
+	t.is(statements.retryAt(start), 14_000);
+	t.is(statements.retryAt({...start, startedAt: 8}), -Infinity);
 	t.deepEqual(news, [], 'other instances have no part in it');
 	t.is(memoryLog.linesOf('endpoint-states-retry-time').length, 1);
 	statements.record(start, {...nothing, retryAfterMs: 0}, clock.now());
-	t.is(statements.waitsUntil(start), 14_000);
+	t.is(statements.retryAt(start), 14_000);
 });
 
 test('a limit is told at its start, when it changes much, now and then, and at its end', t => {
@@ -168,7 +168,7 @@
 	clock.advance(500);
 	const heard = {heardBy: '10.0.0.1', ageMs: 500};
 	t.deepEqual(statements.status(() => true), [{
-		endpoint: 'engine-1', startedAt: 7, leaving: heard, limit: {perSecond: 4, ...heard}, waitsForMs: 1500,
+		endpoint: 'engine-1', startedAt: 7, leaving: heard, limit: {perSecond: 4, ...heard}, retryInMs: 1500,
 	}]);
 	t.deepEqual(statements.status(() => false), []);
 });
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -16,7 +16,7 @@
 
 function createReceivedRequest(values: Partial<ReceivedRequestRecord> = {}): ReceivedRequestRecord {
 	return {
-		requestId: 'c1', endpoint: 'e1', service: 'diaries', availabilityZone: 'a', receivedAt: 10_050, isExecuted: true, isExpected: true, closedAt: 10_090, ...values,
+		requestId: 'c1', endpoint: 'e1', start: 0, service: 'diaries', availabilityZone: 'a', receivedAt: 10_050, isExecuted: true, isExpected: true, closedAt: 10_090, ...values,
 	};
 }
 
