--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -112,15 +112,7 @@
 			return;
 		}
 
-		const attempt = this.#attempt;
-		this.#attempt = undefined;
-		this.context.scheduler.withdraw(this.#waitingRequest);
-		if (attempt !== undefined) {
-			attempt.exchange?.cancel(new Error('the prompt has a part that crashes endpoints'));
-			this.#recordAbandoned(attempt);
-			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
-		}
-
+		this.#abandon(new Error('the prompt has a part that crashes endpoints'));
 		this.#failWithheld(retryAfterMs);
 	}
 
@@ -130,16 +122,20 @@
 			return;
 		}
 
+		this.#abandon(new Error('the caller has disconnected'));
+		this.#end({outcome: 'caller-left', mayHaveRun: this.#possiblyRunBy.size > 0});
+	}
+
+	/** Ends the wait for an endpoint, or the attempt. */
+	#abandon(reason: Error): void {
 		const attempt = this.#attempt;
 		this.#attempt = undefined;
 		this.context.scheduler.withdraw(this.#waitingRequest);
 		if (attempt !== undefined) {
-			attempt.exchange?.cancel(new Error('the caller has disconnected'));
+			attempt.exchange?.cancel(reason);
 			this.#recordAbandoned(attempt);
 			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
 		}
-
-		this.#end({outcome: 'caller-left', mayHaveRun: this.#possiblyRunBy.size > 0});
 	}
 
 	#isStalled(attempt: Attempt, now: Milliseconds): boolean {
@@ -378,13 +374,13 @@
 	}
 
 	#retryOrFail(attempt: Attempt, outcome: AttemptOutcome, end: ExchangeEnd, now: Milliseconds): void {
-		if (isUnsent(end)) {
-			// No endpoint received the request, so sending it again uses no retry budget.
+		const isNotRun = outcome === attemptOutcomes.rejected;
+		if (isUnsent(end) || (isNotRun && this.context.scheduler.isClosed)) {
+			// No endpoint received the request, or none will, so this uses no retry budget.
 			this.#resubmit();
 			return;
 		}
 
-		const isNotRun = outcome === attemptOutcomes.rejected;
 		if (isNotRun ? this.#takeRetryBudget(now) : attempt.isStalled || (this.#mayRetry(attempt, now) && this.#takeRetryBudget(now))) {
 			this.#resubmit();
 		} else if (isNotRun) {
@@ -419,7 +415,7 @@
 	/** Whether a request that may have run can be sent to another endpoint. */
 	#mayRetry(attempt: Attempt, now: Milliseconds): boolean {
 		const {route} = this.request;
-		return this.#isRetryable() && this.#possiblyRunBy.size < route.maximumEndpoints && now < this.#deadlineAt
+		return this.#isRetryable() && !this.context.scheduler.isClosed && this.#possiblyRunBy.size < route.maximumEndpoints && now < this.#deadlineAt
 			&& (!this.#isHeadSent || (attempt.isResumable && this.#lastEventId !== undefined));
 	}
 
@@ -432,6 +428,7 @@
 			[refusalReasons.noEndpoint]: 'noEndpoint',
 			[refusalReasons.overloaded]: 'overloaded',
 			[refusalReasons.waitedTooLong]: 'waitedTooLong',
+			[refusalReasons.stopping]: 'stopping',
 		} as const;
 		this.context.log.event('request-not-started', {
 			requestId: this.requestId, reason, waiting, expectedWaitMs: expectedWaitMs === undefined ? undefined : Math.round(expectedWaitMs), retryAfterMs: Math.round(retryAfterMs),
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,5 +1,4 @@
 import {randomInt} from 'node:crypto';
-import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock, Milliseconds} from '../shared/clock.js';
 import {describeError} from '../shared/describe-error.js';
 import {DisposableStore} from '../shared/disposable-store.js';
@@ -35,6 +34,7 @@
 import {selectWitnesses} from './site/witness-selection.js';
 import type {EndpointRecord, Service, SiteConfirmation} from './site/types.js';
 import {StatedRestrictions} from './statements/stated-restrictions.js';
+import {PlannedStop} from './stopping/planned-stop.js';
 
 /** Interval of the checks for requests whose deadline may have passed. */
 const checkIntervalMs: Milliseconds = 50;
@@ -42,15 +42,6 @@
 /** Interval at which evidence of crashes that is too old is forgotten. */
 const expiryIntervalMs: Milliseconds = 5000;
 
-/** Time after the request to stop during which new requests are accepted: the load balancer sends callers here until two of its health checks, one second apart, have failed. */
-const acceptAfterStopMs: Milliseconds = 3000;
-
-/** Time before the kill at which the process exits even with requests in flight. */
-const stopMarginMs: Milliseconds = 350;
-
-/** Time after the end of the listener in which requests on connections that were accepted before are awaited. */
-const lastRequestsMs: Milliseconds = 300;
-
 /** Offset of the metrics port from the first internal port. */
 const metricsPortOffset = 1;
 
@@ -97,8 +88,7 @@
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
 	readonly #startedAt: Milliseconds;
-	#stopRequestedAt: Milliseconds | undefined;
-	#stopped: Promise<void> | undefined;
+	readonly #plannedStop: PlannedStop;
 	#wasReady = false;
 
 	private constructor(private readonly options: GatewayProcessOptions) {
@@ -167,6 +157,16 @@
 				this.#onRequest(request);
 			},
 		});
+		this.#plannedStop = PlannedStop.create({
+			clock,
+			log,
+			graceMs: settings.bounds.stopGraceMs,
+			callerServer: this.#callerServer,
+			countRequests: () => this.#tasks.size,
+			announceLeaving: () => {
+				this.#heartbeats.sendLeaving();
+			},
+		});
 		this.#siteReader = SiteReaderTask.create({
 			source,
 			state: this.#site,
@@ -217,7 +217,7 @@
 	}
 
 	get isReady(): boolean {
-		return this.#stopRequestedAt === undefined && this.#freshness.isReady(this.options.freshnessClock.now(), this.#site.confirmedAt);
+		return !this.#plannedStop.isRequested && this.#freshness.isReady(this.options.freshnessClock.now(), this.#site.confirmedAt);
 	}
 
 	/** @throws {Error} when an address can't be bound */
@@ -255,8 +255,7 @@
 	Repeated calls wait for the same stop.
 	*/
 	async stop(): Promise<void> {
-		this.#stopped ??= this.#stop();
-		await this.#stopped;
+		await this.#plannedStop.run();
 	}
 
 	async dispose(): Promise<void> {
@@ -266,30 +265,6 @@
 		await this.#connectionPools.dispose();
 	}
 
-	async #stop(): Promise<void> {
-		const {clock, settings, log} = this.options;
-		const stopAt = clock.now();
-		this.#stopRequestedAt = stopAt;
-		log.event('stopping', {openRequests: this.#callerServer.openRequests, running: this.#tasks.size});
-		this.#callerServer.beginStop();
-		// A caller whose idle connection is closed reconnects to another instance; a later request on the connection would have to be refused.
-		setTimeout(() => {
-			void this.#callerServer.closeIdleConnections();
-		}, acceptAfterStopMs).unref();
-		const endAt = stopAt + settings.bounds.stopGraceMs - stopMarginMs;
-		await this.#waitUntil(() => clock.now() >= endAt || (clock.now() - stopAt >= acceptAfterStopMs && this.#callerServer.openRequests === 0));
-		// From here on no request is accepted, because the process ends as soon as this method returns. Those that were accepted a moment ago still get their responses.
-		let isClosed = false;
-		void this.#callerServer.close().then(() => {
-			isClosed = true;
-		});
-		const closedAt = clock.now();
-		log.event('closing', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(closedAt - stopAt)});
-		await this.#waitUntil(() => clock.now() >= endAt || isClosed || (!this.#callerServer.isListening && this.#callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
-		this.#heartbeats.sendLeaving();
-		log.event('stopped', {openRequests: this.#callerServer.openRequests, afterMs: Math.round(clock.now() - stopAt)});
-	}
-
 	async #startMonitoringServers(settings: InstanceSettings, protocol: Protocol): Promise<void> {
 		const {log} = this.options;
 		const ready = MonitoringServer.create(settings.readinessAddress, log, new Map([[protocol.readinessPath, () => ({status: this.isReady ? 200 : 503})]]));
@@ -309,7 +284,7 @@
 		const {protocol, clock, freshnessClock, log} = this.options;
 		const metadata = protocol.decodeRequestHeaders(message.headers);
 		const path = message.url ?? '';
-		if (this.#stopRequestedAt !== undefined && clock.now() - this.#stopRequestedAt > acceptAfterStopMs) {
+		if (!this.#plannedStop.acceptsRequests) {
 			log.event('request-refused', {requestId: metadata.requestId, reason: 'stopping'});
 			response.fail({type: 'stopping', retryAfterMs: 0});
 			return;
@@ -393,7 +368,8 @@
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
 		const availabilityZone = this.#site.endpoints.get(endpoint.id)?.availabilityZone;
-		return this.#isServing(endpoint) && this.options.clock.now() >= this.#restrictions.retryAt(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
+		return this.#plannedStop.allowsDispatch
+			&& this.#isServing(endpoint) && this.options.clock.now() >= this.#restrictions.retryAt(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
 
@@ -449,6 +425,7 @@
 			members: () => this.#peers.members(),
 			memberCount: () => this.#peers.memberCount,
 			knowsMembers: () => this.#peers.knowsMembers(clock.now()),
+			mayDispatch: () => this.#plannedStop.allowsDispatch,
 			random: Math.random,
 		});
 	}
@@ -469,7 +446,7 @@
 		const {isReady} = this;
 		if (isReady !== this.#wasReady) {
 			this.#wasReady = isReady;
-			this.options.log.event(isReady ? 'ready' : 'not-ready', {confirmedAgeMs: this.#confirmedAgeMs(), isStopping: this.#stopRequestedAt !== undefined});
+			this.options.log.event(isReady ? 'ready' : 'not-ready', {confirmedAgeMs: this.#confirmedAgeMs(), isStopping: this.#plannedStop.isRequested});
 		}
 	}
 
@@ -523,14 +500,4 @@
 			endpointsWithRetryTime: statements.filter(({retryInMs}) => retryInMs !== undefined).length,
 		});
 	}
-
-	/** Waits for the end of requests. Those that arrived while this process was busy are read before the condition is judged. */
-	async #waitUntil(isDone: () => boolean): Promise<void> {
-		do {
-			// eslint-disable-next-line no-await-in-loop
-			await delay(checkIntervalMs);
-			// eslint-disable-next-line no-await-in-loop
-			await this.#callerServer.readArrivedRequests();
-		} while (!isDone());
-	}
 }
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -50,6 +50,8 @@
 	readonly memberCount: () => number;
 	/** Whether this process has listened for peers long enough to know its own limit at a cold endpoint. */
 	readonly knowsMembers: () => boolean;
+	/** Whether requests may be dispatched. Once they may not, they never may again. */
+	readonly mayDispatch: () => boolean;
 	/** Returns a random number from 0 to below 1. */
 	readonly random: () => number;
 };
@@ -86,6 +88,11 @@
 		return this.#queue.size;
 	}
 
+	/** Whether each request that is submitted is refused, because the process stops. */
+	get isClosed(): boolean {
+		return !this.options.mayDispatch();
+	}
+
 	get loads(): ReadonlyMap<string, EndpointLoad> {
 		return this.#loads;
 	}
@@ -157,9 +164,11 @@
 		this.dispatchWaiting();
 	}
 
-	/** Dispatches waiting requests as long as there are free slots. */
+	/** Dispatches waiting requests as long as there are free slots. Refuses them when nothing may be dispatched any more. */
 	dispatchWaiting(): void {
-		if (this.#queue.size > 0) {
+		if (this.isClosed) {
+			this.#refuseAll();
+		} else if (this.#queue.size > 0) {
 			const now = this.options.clock.now();
 			this.#moveLate(now);
 			this.#dispatchInOrder(now);
@@ -167,6 +176,14 @@
 		}
 	}
 
+	/** Other instances dispatch to the same endpoints, so callers may return at once. */
+	#refuseAll(): void {
+		for (const request of this.#queue.inOrder()) {
+			this.#queue.remove(request);
+			this.#refuse(request, refusalReasons.stopping, 0);
+		}
+	}
+
 	/** Moves requests that have become late behind the others, and refuses those that can't expect a slot before their latest dispatch time. */
 	#moveLate(now: Milliseconds): void {
 		for (const request of this.#queue.moveLate(now, minimumResponseMs)) {
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -9,6 +9,8 @@
 	overloaded: 'overloaded',
 	/** Its latest dispatch time passed while it waited. */
 	waitedTooLong: 'waited-too-long',
+	/** The process ends too soon for a response. */
+	stopping: 'stopping',
 } as const;
 
 export type RefusalReason = (typeof refusalReasons)[keyof typeof refusalReasons];
--- /dev/null
+++ b/src/gateway/stopping/planned-stop.ts
@@ -0,0 +1,93 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {CallerServer} from '../callers/caller-server.js';
+import type {EventLog} from '../observability/event-log.js';
+import {createStopSchedule, type StopSchedule} from './stop-schedule.js';
+
+/** Interval at which the conditions for the end of a stage are checked. */
+const checkIntervalMs: Milliseconds = 50;
+
+/** Time after the end of the listener in which requests on connections that were accepted before are awaited. */
+const lastRequestsMs: Milliseconds = 300;
+
+export type PlannedStopOptions = {
+	readonly clock: Clock;
+	readonly log: EventLog;
+	/** Time between the request to stop and the kill. */
+	readonly graceMs: Milliseconds;
+	readonly callerServer: CallerServer;
+	/** Number of requests that wait or are under way. */
+	readonly countRequests: () => number;
+	/** Tells the other instances that this one leaves. */
+	readonly announceLeaving: () => void;
+};
+
+/** Takes the process from the request to stop to the moment at which it can exit without cutting a request that it could have answered. */
+export class PlannedStop {
+	static create(options: PlannedStopOptions): PlannedStop {
+		return new PlannedStop(options);
+	}
+
+	#schedule: StopSchedule | undefined;
+	#finished: Promise<void> | undefined;
+
+	private constructor(private readonly options: PlannedStopOptions) {}
+
+	get isRequested(): boolean {
+		return this.#schedule !== undefined;
+	}
+
+	get acceptsRequests(): boolean {
+		return this.#schedule === undefined || this.options.clock.now() <= this.#schedule.acceptUntil;
+	}
+
+	get allowsDispatch(): boolean {
+		return this.#schedule === undefined || this.options.clock.now() <= this.#schedule.dispatchUntil;
+	}
+
+	/** Resolves when the process can exit. Repeated calls wait for the same stop. */
+	async run(): Promise<void> {
+		this.#finished ??= this.#run();
+		await this.#finished;
+	}
+
+	async #run(): Promise<void> {
+		const {clock, log, graceMs, callerServer, countRequests} = this.options;
+		const requestedAt = clock.now();
+		const afterMs = () => Math.round(clock.now() - requestedAt);
+		const schedule = createStopSchedule(requestedAt, graceMs);
+		this.#schedule = schedule;
+		log.event('stopping', {openRequests: callerServer.openRequests, running: countRequests()});
+		callerServer.beginStop();
+		// A caller whose idle connection is closed reconnects to another instance; a later request on the connection would have to be refused.
+		setTimeout(() => {
+			void callerServer.closeIdleConnections();
+		}, schedule.acceptUntil - requestedAt).unref();
+		await this.#waitUntil(() => clock.now() >= schedule.exitAt || (!this.acceptsRequests && callerServer.openRequests === 0));
+		await this.#close(schedule.exitAt, afterMs);
+		this.options.announceLeaving();
+		log.event('stopped', {openRequests: callerServer.openRequests, afterMs: afterMs()});
+	}
+
+	/** Accepts nothing more, and waits until the responses are handed to the operating system. */
+	async #close(exitAt: Milliseconds, afterMs: () => number): Promise<void> {
+		const {clock, log, callerServer} = this.options;
+		let isClosed = false;
+		void callerServer.close().then(() => {
+			isClosed = true;
+		});
+		const closedAt = clock.now();
+		log.event('closing', {openRequests: callerServer.openRequests, afterMs: afterMs()});
+		await this.#waitUntil(() => clock.now() >= exitAt || isClosed || (!callerServer.isListening && callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
+	}
+
+	/** Requests and responses that arrived while this process was busy are read before the condition is judged. */
+	async #waitUntil(isDone: () => boolean): Promise<void> {
+		do {
+			// eslint-disable-next-line no-await-in-loop
+			await delay(checkIntervalMs);
+			// eslint-disable-next-line no-await-in-loop
+			await this.options.callerServer.readArrivedRequests();
+		} while (!isDone());
+	}
+}
--- a/test/gateway/scheduling/large-fleet-load.test.ts
+++ b/test/gateway/scheduling/large-fleet-load.test.ts
@@ -46,6 +46,7 @@
 			members: () => ['own'],
 			memberCount: () => 1,
 			knowsMembers: () => true,
+			mayDispatch: () => true,
 			random,
 		});
 		scheduler.setEndpoints(records, new Set());
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -15,9 +15,10 @@
 	readonly members?: readonly string[];
 	readonly knowsMembers?: boolean;
 	readonly restrictions?: Partial<EndpointRestrictions>;
+	readonly mayDispatch?: () => boolean;
 };
 
-function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions}: Options = {}) {
+function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions, mayDispatch = () => true}: Options = {}) {
 	const clock = ManualClock.create(10_000);
 	const scheduler = ServiceScheduler.create({
 		service: createService(),
@@ -30,6 +31,7 @@
 		members: () => members,
 		memberCount: () => members.length,
 		knowsMembers: () => knowsMembers,
+		mayDispatch: () => mayDispatch(),
 		random: () => 0.5,
 	});
 	scheduler.setEndpoints(records, new Set());
@@ -365,3 +367,21 @@
 	t.deepEqual(waiting.dispatchedTo, ['engine-3']);
 	t.deepEqual(asked, ['engine-2']);
 });
+
+// Guards against a dispatch shortly before the end of the process, which would leave the outcome unknown.
+test('once nothing may be dispatched, requests that wait and those that follow are refused as not run, also if an endpoint is free', t => {
+	let mayDispatch = true;
+	const {clock, scheduler} = createScheduler({peerInFlight: {'engine-1': 3}, mayDispatch: () => mayDispatch});
+	const [running, waiting, later] = [0, 1, 2].map(() => request(clock));
+	scheduler.submit(running!);
+	scheduler.submit(waiting!);
+	mayDispatch = false;
+	scheduler.recordOutcome('engine-1', 'completed');
+	scheduler.submit(later!);
+	for (const {dispatchedTo, refusals} of [waiting!, later!]) {
+		t.deepEqual(dispatchedTo, []);
+		t.like(refusals, [{reason: 'stopping', retryAfterMs: 0}]);
+	}
+
+	t.is(scheduler.waiting, 0);
+});
