--- a/src/gateway/callers/failures.ts
+++ b/src/gateway/callers/failures.ts
@@ -20,6 +20,7 @@
 	notRun: {status: 503, title: 'The endpoints did not run the request'},
 	internalError: {status: 500, title: 'An unexpected error ended the request'},
 	endpointFailed: {status: 502, title: 'The endpoint failed while it had the request'},
+	endedByStop: {status: 504, title: 'This instance stopped before the endpoint answered'},
 	timedOut: {status: 504, title: 'The endpoint did not answer in time'},
 } as const satisfies Record<string, {readonly status: number; readonly title: string}>;
 
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -126,6 +126,16 @@
 		this.#end({outcome: 'caller-left', mayHaveRun: this.#possiblyRunBy.size > 0});
 	}
 
+	/** Answers the request because the process ends. */
+	endForStop(): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#abandon(new Error('the process ends'));
+		this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'stopping', retryAfterMs: 0} : {type: 'endedByStop'});
+	}
+
 	/** Ends the wait for an endpoint, or the attempt. */
 	#abandon(reason: Error): void {
 		const attempt = this.#attempt;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -163,6 +163,11 @@
 			graceMs: settings.bounds.stopGraceMs,
 			callerServer: this.#callerServer,
 			countRequests: () => this.#tasks.size,
+			endRequests: () => {
+				this.#forEachTask(task => {
+					task.endForStop();
+				});
+			},
 			announceLeaving: () => {
 				this.#heartbeats.sendLeaving();
 			},
--- a/src/gateway/stopping/planned-stop.ts
+++ b/src/gateway/stopping/planned-stop.ts
@@ -18,6 +18,8 @@
 	readonly callerServer: CallerServer;
 	/** Number of requests that wait or are under way. */
 	readonly countRequests: () => number;
+	/** Answers all requests that wait or are under way. */
+	readonly endRequests: () => void;
 	/** Tells the other instances that this one leaves. */
 	readonly announceLeaving: () => void;
 };
@@ -52,7 +54,7 @@
 	}
 
 	async #run(): Promise<void> {
-		const {clock, log, graceMs, callerServer, countRequests} = this.options;
+		const {clock, log, graceMs, callerServer, countRequests, endRequests} = this.options;
 		const requestedAt = clock.now();
 		const afterMs = () => Math.round(clock.now() - requestedAt);
 		const schedule = createStopSchedule(requestedAt, graceMs);
@@ -63,7 +65,12 @@
 		setTimeout(() => {
 			void callerServer.closeIdleConnections();
 		}, schedule.acceptUntil - requestedAt).unref();
-		await this.#waitUntil(() => clock.now() >= schedule.exitAt || (!this.acceptsRequests && callerServer.openRequests === 0));
+		await this.#waitUntil(() => clock.now() >= schedule.endRequestsAt || (!this.acceptsRequests && callerServer.openRequests === 0));
+		if (countRequests() > 0) {
+			log.event('ending-requests', {openRequests: callerServer.openRequests, running: countRequests(), afterMs: afterMs()});
+			endRequests();
+		}
+
 		await this.#close(schedule.exitAt, afterMs);
 		this.options.announceLeaving();
 		log.event('stopped', {openRequests: callerServer.openRequests, afterMs: afterMs()});
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -6,6 +6,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {createConfigurationDocument} from '../../standins/platform-documents.js';
 import type {CallerResponse} from '../../standins/platform-caller.js';
+import {blockThread} from '../fixtures/block-thread.js';
 import {call} from '../fixtures/gateway/caller.js';
 import {bounds} from '../fixtures/gateway/documents.js';
 import {GatewaySite, type Gateway} from '../fixtures/gateway/gateway-site.js';
@@ -92,6 +93,24 @@
 	return `HTTP/1.1 503 Busy\r\nx-request-id: ${requestId}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n`;
 }
 
+// Serial, because it blocks the thread of all tests of this file.
+test.serial('a process that is busy over the end of its grace period still answers its requests', async t => {
+	const {site, gateway} = await startSite(t);
+	const send = createCaller(t, gateway);
+	const {running} = await addBusyEndpoint(site, gateway, send);
+	const waiting = send(booking);
+	const exited = stopAndExit(gateway);
+	await delay(lateInGraceMs - 1500);
+	// Over the end of the dispatches.
+	blockThread(1500);
+	await delay(900);
+	// Until a moment before the kill.
+	blockThread(900);
+	t.deepEqual(await waiting, refused);
+	t.like(await running, {status: 504, isComplete: true});
+	await exited;
+});
+
 test('a request that waits when the grace period ends is refused as not run before the process ends', async t => {
 	const {site, gateway} = await startSite(t);
 	const send = createCaller(t, gateway);
@@ -111,6 +130,17 @@
 	t.is(busy.receivedRequests.length, 1);
 });
 
+test('a request under way at the end of the grace period gets an answer that promises nothing, and not before the last sixth', async t => {
+	const {site, gateway} = await startSite(t);
+	const send = createCaller(t, gateway);
+	const {running} = await addBusyEndpoint(site, gateway, send);
+	const stoppedAt = performance.now();
+	const exited = stopAndExit(gateway);
+	t.like(await running, {status: 504, isComplete: true, failure: 'endedByStop'});
+	t.true(performance.now() - stoppedAt >= stopGraceMs * 5 / 6);
+	await exited;
+});
+
 test('a stream that has begun is broken off at the end of the grace period and not framed as whole', async t => {
 	const {site, gateway} = await startSite(t);
 	await site.addEndpoint({
@@ -207,7 +237,7 @@
 test('a configuration and new settings within the grace period neither extend it nor let waiting requests run late', async t => {
 	const {site, gateway} = await startSite(t);
 	const send = createCaller(t, gateway);
-	await addBusyEndpoint(site, gateway, send);
+	const {running} = await addBusyEndpoint(site, gateway, send);
 	const waiting = send(booking);
 	await untilOpen(gateway, 2);
 	const stoppedAt = performance.now();
@@ -219,6 +249,7 @@
 	const later = await site.addEndpoint({id: 'later', isEngine: false});
 	await until(() => gateway.memoryLog.linesOf('endpoint-added').length === 2);
 	t.deepEqual(await waiting, refused);
+	t.like(await running, {status: 504, isComplete: true});
 	await exited;
 	t.true(performance.now() - stoppedAt < stopGraceMs);
 	t.deepEqual(later.receivedRequests, []);
--- a/test/platform/gateway-program.test.ts
+++ b/test/platform/gateway-program.test.ts
@@ -1,5 +1,6 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
+import {setTimeout} from 'node:timers/promises';
 import anyTest, {type ExecutionContext, type TestFn} from 'ava';
 import {decodeSettings} from '../../platform/settings.js';
 import {createConfigurationDocument, createSettingsDocument} from '../../standins/platform-documents.js';
@@ -21,10 +22,12 @@
 
 let nextHostNumber = 1;
 
-function createSettings(store: PlatformStore, seeds: readonly string[] = []) {
+function createSettings(store: PlatformStore, seeds: readonly string[] = [], bounds?: Readonly<Record<string, number>>) {
 	const host = `127.${201 + (process.pid % 50)}.0.${nextHostNumber}`;
 	nextHostNumber++;
-	return createSettingsDocument({host, store: store.address, seeds});
+	return createSettingsDocument({
+		host, store: store.address, seeds, bounds,
+	});
 }
 
 type Settings = ReturnType<typeof createSettings>;
@@ -103,6 +106,38 @@
 	t.is(await program.exited, 0);
 });
 
+// Guards against a process that exits with requests that it could have answered, whatever happens during its grace period.
+test('each request is answered before a stopping process exits, with repeated signals, new settings and a configuration meanwhile', async t => {
+	const {store, endpoint} = await startSite(t, false, async () => setTimeout(60_000, undefined, {ref: false}));
+	// eslint-disable-next-line @typescript-eslint/naming-convention -- the platform's name
+	const settings = createSettings(store, [], {grace_s: 6});
+	const program = await startProgram(t, settings);
+	const send = async () => call(gatewayOf(settings), {
+		path: '/bookings/1', method: 'POST', body: 'x', headers: {'x-deadline-ms': '20000'},
+	});
+	const running = Array.from({length: 4}, send);
+	await until(() => endpoint.receivedRequests.length === 4);
+	const waiting = send();
+	await setTimeout(200);
+	program.child.kill('SIGTERM');
+	await until(() => program.hasLogged('stopping'));
+	await writeFile(program.settingsPath, JSON.stringify({...settings, seeds: ['127.0.0.99:18229']}));
+	program.child.kill('SIGHUP');
+	program.child.kill('SIGTERM');
+	await until(() => program.hasLogged('reloaded'));
+	const limits = {
+		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 1000, idle_timeout_ms: 1000, // eslint-disable-line @typescript-eslint/naming-convention
+	};
+	store.put('op/config', createConfigurationDocument({version: 2, limits}));
+	t.like(await waiting, {status: 503, isComplete: true});
+	for (const response of await Promise.all(running)) {
+		t.like(response, {status: 504, isComplete: true});
+	}
+
+	t.is(await program.exited, 0);
+	t.is(endpoint.receivedRequests.length, 4);
+});
+
 test('processes find each other through a seed, and one continues to serve when the other is killed', async t => {
 	const {store} = await startSite(t);
 	const first = createSettings(store);
