Take a success that ends before its body begins for broken

What callers saw: an endpoint that stated neither a length nor chunks and closed its connection after its head gave them an empty 200. A stream whose first endpoint had sent chunks, and that was continued by such a response, ended for its caller as if it were whole.

Cause: such a response ends with its connection, so no byte at all was a complete body. An endpoint that means an empty body states a length of 0, or answers 204.

Change: a 2xx without a length, chunks or any byte of a body is a broken attempt: lookups and resumable streams are repeated, bookings and other streams end with 502 after one send. Not for HEAD, 204 and 205. A continuation may be empty when the caller's response ends with its connection too, as the test in unframed-streams.test.ts asks: nothing is claimed there.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -15,6 +15,9 @@
 /** Time from its first event after which a stream shows that its prompt does not crash the endpoint: one that crashes does so as it begins the response. */
 const survivalMs: Milliseconds = 250;
 
+/** Successes that have no body by definition. */
+const statusesWithoutBody = new Set([204, 205]);
+
 /** Classification of an endpoint's response by its head. */
 export const responseKinds = {
 	/** No response head has been received yet. */
@@ -34,11 +37,14 @@
 export type AttemptOptions = {
 	readonly endpointId: string;
 	readonly requestId: string;
+	readonly method: string;
 	readonly route: Route;
 	readonly protocol: Protocol;
 	readonly sentAt: Milliseconds;
 	/** Whether the caller has already received events of the stream from another endpoint. */
 	readonly isContinuation: boolean;
+	/** Whether the caller has received the head of a response that ends with its connection. */
+	readonly isCallerResponseUnframed: boolean;
 };
 
 /** Bytes of a stream that can be forwarded to the caller. */
@@ -163,6 +169,12 @@
 		return isEventStream && this.#splitter.hasPartialEvent;
 	}
 
+	/** Whether a success ended with its connection before its body began. An endpoint that means an empty body states its length; only a continued stream may have no further events, if the end of its connection is all that its caller gets, too. */
+	get #isBodyMissing(): boolean {
+		const {method, isCallerResponseUnframed} = this.options;
+		return this.isSuccess && !this.#isFramed && this.#bodyBytes === 0 && !isCallerResponseUnframed && method !== 'HEAD' && !statusesWithoutBody.has(this.#head!.status);
+	}
+
 	/**
 	Classifies the response. Endpoints repeat the id of the request in each response; one without it may belong to any request.
 
@@ -240,7 +252,7 @@
 			return attemptOutcomes.unreachable;
 		}
 
-		if (end.kind !== 'complete' || this.#endsInsideEvent) {
+		if (end.kind !== 'complete' || this.#endsInsideEvent || this.#isBodyMissing) {
 			return attemptOutcomes.broken;
 		}
 
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -42,6 +42,8 @@
 	readonly #survived = new WeakSet<Attempt>();
 	#sendCount = 0;
 	#isHeadSent = false;
+	/** Whether the caller's response ends with its connection. */
+	#isResponseUnframed = false;
 	#firstResponseMs: Milliseconds | undefined;
 	#lastEventId: string | undefined;
 	/** When the last event of a stream was forwarded. */
@@ -184,7 +186,14 @@
 		const now = context.clock.now();
 		const endpoint = context.findEndpoint(endpointId);
 		const attempt = Attempt.create({
-			endpointId, requestId: this.requestId, route: request.route, protocol: context.protocol, sentAt: now, isContinuation: this.#isHeadSent,
+			endpointId,
+			requestId: this.requestId,
+			method: request.method,
+			route: request.route,
+			protocol: context.protocol,
+			sentAt: now,
+			isContinuation: this.#isHeadSent,
+			isCallerResponseUnframed: this.#isResponseUnframed,
 		});
 		this.#attempt = attempt;
 		if (endpoint === undefined) {
@@ -309,6 +318,7 @@
 		if (!this.#isHeadSent) {
 			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers), attempt.isFramed);
 			this.#isHeadSent = true;
+			this.#isResponseUnframed = !attempt.isFramed;
 		}
 	}
 
