--- a/src/gateway/quarantine/crash-containment.ts
+++ b/src/gateway/quarantine/crash-containment.ts
@@ -130,7 +130,8 @@
 
 	/** Takes short responses for survivals whose endpoints have not crashed since, and their requests for suspects otherwise. Called periodically. */
 	confirmSurvivals(): void {
-		for (const response of this.#shortResponses.takeConfirmed(this.options.clock.now())) {
+		const now = this.options.clock.now();
+		for (const response of this.#shortResponses.takeConfirmed(now)) {
 			const {endpoint, parts, crashesUntil} = response;
 			const crash = this.#quarantine.findCrash({endpointId: endpoint.id, startedAt: endpoint.startedAt});
 			if (crash !== undefined && crash.at <= crashesUntil) {
@@ -141,6 +142,8 @@
 				void this.#confirmByProbe(response);
 			}
 		}
+
+		this.#quarantine.reconsider(now);
 	}
 
 	handlePeerChanges(changes: readonly PeerChange[]): void {
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -37,6 +37,9 @@
 /** Crashes within this time count once: endpoints that fail together, as in a power loss, say nothing about the requests there. */
 const simultaneousMs: Milliseconds = 50;
 
+/** Time in which all instances report their requests at an endpoint that crashed, those with a short response last. */
+export const settleMs: Milliseconds = 500;
+
 /** Crashes beyond the required ones after which parts are convicted one by one although the crashes don't distinguish them. */
 const undecidedCrashes = 3;
 
@@ -77,6 +80,7 @@
 
 /** What is known of parts beside the crashes. */
 export type PartKnowledge = {
+	readonly now: Milliseconds;
 	/** When a request with a part last survived, or -Infinity. */
 	readonly survivedAt: (part: string) => Milliseconds;
 	/** Parts that are convicted already, each with the number of crashes that suffices to keep them so. */
@@ -135,6 +139,13 @@
 	return kept;
 }
 
+/** Whether another part may be in all crashes of a part as well, because not every instance has reported the latest ones yet. */
+function hasUnsettledRival({crashes}: Candidate, candidates: readonly Candidate[], now: Milliseconds): boolean {
+	const settled = crashes.filter(({at}) => now - at >= settleMs);
+	const isShared = (shared: readonly EndpointCrash[], other: Candidate) => shared.every(crash => other.crashes.includes(crash));
+	return settled.length > 0 && settled.length < crashes.length && candidates.some(other => isShared(settled, other) && !isShared(crashes, other));
+}
+
 /** Splits parts with the same crashes: those that one request of each crash had in common can't be told apart and are convicted together. */
 function convict(tied: readonly Candidate[], required: number): Array<readonly string[]> {
 	const parts = tied.map(({part}) => part);
@@ -160,7 +171,8 @@
 		const remaining = unexplained;
 		const unprovenCount = countUnproven(remaining, knowledge);
 		const required = new Map<Candidate, number>();
-		for (const candidate of findCandidates(remaining, knowledge.survivedAt)) {
+		const suspected = findCandidates(remaining, knowledge.survivedAt);
+		for (const candidate of suspected) {
 			if (candidate.count >= minimumCrashes) {
 				required.set(candidate, requiredCrashes(candidate, remaining, unprovenCount, knowledge));
 			}
@@ -173,12 +185,14 @@
 		}
 
 		const isTied = (other: Candidate) => other.crashes.length === leading.crashes.length && other.crashes.every((crash, index) => crash === leading.crashes[index]);
-		const convicted = convict(candidates.filter(candidate => isTied(candidate)), required.get(leading)!);
+		const convicted = hasUnsettledRival(leading, suspected, knowledge.now)
+			? []
+			: convict(candidates.filter(candidate => isTied(candidate)), required.get(leading)!);
 		for (const parts of convicted) {
 			culprits.push({parts, crashes: leading.crashes});
 		}
 
-		// Without a conviction, the next crash distinguishes the tied parts.
+		// Without a conviction, the next crash or report distinguishes the parts.
 		const explained = new Set(convicted.length === 0
 			? leading.crashes
 			: remaining.filter(crash => convicted.some(parts => isCrashUnder(crash, parts))));
--- a/src/gateway/quarantine/prompt-quarantine.ts
+++ b/src/gateway/quarantine/prompt-quarantine.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {hashText} from '../../shared/hash.js';
 import {CrashEvidence} from './crash-evidence.js';
-import {findCulprits, minimumCrashes} from './culprits.js';
+import {findCulprits, minimumCrashes, settleMs} from './culprits.js';
 import type {
 	Culprit, EndpointCrash, Evidence,
 } from './types.js';
@@ -87,6 +87,9 @@
 	/** Parts that other instances have convicted; they may know more than the crashes that are kept. */
 	readonly #convictedByOthers = new Map<string, readonly string[]>();
 
+	/** When all reports of the last crash have arrived, or Infinity after a decision with them. */
+	#settlesAt: Milliseconds = Infinity;
+
 	private constructor(private readonly options: PromptQuarantineOptions) {}
 
 	entries(): QuarantineEntry[] {
@@ -160,6 +163,13 @@
 		return {...news, convictions};
 	}
 
+	/** Decides again once all instances have reported their requests at the last endpoint that crashed. Called periodically. */
+	reconsider(now: Milliseconds): void {
+		if (now >= this.#settlesAt) {
+			this.#update(now);
+		}
+	}
+
 	/** Forgets what is too old. Called periodically. */
 	expire(now: Milliseconds): void {
 		if (this.#evidence.crashes().length > 0) {
@@ -219,12 +229,15 @@
 
 	#update(now: Milliseconds): void {
 		const culprits = findCulprits(this.#evidence.crashes(), {
+			now,
 			survivedAt: part => this.#evidence.survivedAt(part),
 			convictions: [
 				...this.entries().map(({parts}) => ({parts, sufficientCrashes: 1})),
 				...[...this.#convictedByOthers.values()].map(parts => ({parts, sufficientCrashes: minimumCrashes})),
 			],
 		});
+		const lastCrashAt = this.#evidence.crashes().at(-1)?.at ?? -Infinity;
+		this.#settlesAt = now < lastCrashAt + settleMs ? lastCrashAt + settleMs : Infinity;
 		const changes = [...this.#removeReleased(culprits), ...this.#removeExpired(culprits, now)];
 		for (const culprit of culprits.slice(0, maximumCulprits)) {
 			const added = this.#updateEntry(culprit, now);
--- a/test/gateway/quarantine/crash-simulation.test.ts
+++ b/test/gateway/quarantine/crash-simulation.test.ts
@@ -35,6 +35,13 @@
 	soundDurationsMs: [400, 600],
 });
 
+/** So many requests that crash engines that few sound ones survive after a start of all instances. */
+const startOfAll: Scenario = random => ({
+	...fewEngines(random),
+	crashing: [{part: 'bad', perSecond: 5, nextParts: () => [random.pick(firstParts)!, 'bad']}],
+	crashingFrom: 0,
+});
+
 /** Few slots and short requests, so that many parts are new when the crashes begin, and two parts beside other crashes. */
 const disturbed: Scenario = random => ({
 	...usual(random),
@@ -85,6 +92,15 @@
 			crashing: [{part: 'bad', perSecond: 3, nextParts: () => [random.pick(firstParts)!, 'bad']}],
 			crashingFrom: 0,
 		}),
+		seeds: [19],
+	},
+	'few engines, a fifth of the requests crashing them right after a start of all instances': {
+		create: startOfAll,
+		seeds: [27, 119],
+	},
+	'few engines, a start of all instances, and reports that come late or never': {
+		create: random => ({...startOfAll(random), maximumReportDelayMs: 450, lostReportPercent: 5}),
+		seeds: [30, 31, 74, 122, 185],
 	},
 	'two parts beside many other crashes': {create: disturbed, seeds: [1322, 1511]},
 	'outages of all engines and many other crashes, without such a part': {
--- a/test/gateway/quarantine/culprits.test.ts
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -14,8 +14,9 @@
 	};
 }
 
-function findParts(crashes: readonly EndpointCrash[], survivals: Readonly<Record<string, number>> = {}, convicted: readonly string[] = []): string[] {
+function findParts(crashes: readonly EndpointCrash[], survivals: Readonly<Record<string, number>> = {}, convicted: readonly string[] = [], now = Infinity): string[] {
 	return findCulprits(crashes, {
+		now,
 		survivedAt: part => survivals[part] ?? -Infinity,
 		convictions: convicted.map(parts => ({parts: parts.split('+'), sufficientCrashes: 1})),
 	}).map(({parts}) => parts.join('+'));
@@ -122,3 +123,14 @@
 	].map(crash => ({...crash, comparisons: {}}));
 	t.deepEqual(findParts(crashes), ['bad']);
 });
+
+// Guards against a common first part that is convicted before the instance with the part at fault has reported the last crash.
+test('a part is not convicted while another one may be in all of its crashes, because reports of the last one are missing', t => {
+	const earlier = [0, 1000, 2000, 3000].map(at => createCrash(at, ['first', 'bad'], ['first', `rare-${at}`]));
+	const partial = [...earlier, createCrash(4000, ['first', 'rare'])];
+	t.deepEqual(findParts(partial, {}, [], 4000), []);
+	t.deepEqual(findParts(partial, {}, [], 4400), []);
+	t.deepEqual(findParts(partial, {}, [], 4600), ['first']);
+	const complete = [...earlier, createCrash(4000, ['first', 'rare'], ['other', 'bad'])];
+	t.deepEqual(findParts([...complete, createCrash(5000, ['other', 'bad'])]), ['bad']);
+});
