--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -40,6 +40,9 @@
 /** Time in which all instances report their requests at an endpoint that crashed, those with a short response last. */
 export const settleMs: Milliseconds = 500;
 
+/** Crashes without a convicted part, under a part that was in all its crashes, that show that the other one is at fault. */
+const supersedingCrashes = 2;
+
 /** Crashes beyond the required ones after which parts are convicted one by one although the crashes don't distinguish them. */
 const undecidedCrashes = 3;
 
@@ -124,14 +127,23 @@
 	return suspects.some(suspect => hasAll(suspect, parts));
 }
 
-/** Returns the parts that remain convicted. Several parts do not when a crash had only some of them. */
+/** Whether another part was in all crashes of a convicted one, and in several more. */
+function isSuperseded(part: string, counted: readonly EndpointCrash[], candidates: readonly Candidate[]): boolean {
+	return candidates.some(other => other.part !== part
+		&& counted.every(crash => other.crashes.includes(crash))
+		&& countDistinct(other.crashes.filter(crash => !isCrashUnder(crash, [part]))) >= supersedingCrashes);
+}
+
+/** Returns the parts that remain convicted. Several parts do not when a crash had only some of them, and one does not when another part explains its crashes and more. */
 function keepConvicted(crashes: readonly EndpointCrash[], {survivedAt, convictions}: PartKnowledge): Culprit[] {
 	const kept: Culprit[] = [];
+	const candidates = convictions.length === 0 ? [] : findCandidates(crashes, survivedAt);
 	for (const {parts, sufficientCrashes} of convictions) {
 		const since = Math.max(...parts.map(part => survivedAt(part)));
 		const counted = crashes.filter(crash => crash.at > since && isCrashUnder(crash, parts));
 		const isDistinguished = parts.length > 1 && crashes.some(crash => crash.at > since && !counted.includes(crash) && parts.some(part => isCrashUnder(crash, [part])));
-		if (counted.length >= sufficientCrashes && !isDistinguished && !kept.some(culprit => hasAll(parts, culprit.parts))) {
+		const isRefuted = isDistinguished || (parts.length === 1 && isSuperseded(parts[0]!, counted, candidates));
+		if (counted.length >= sufficientCrashes && !isRefuted && !kept.some(culprit => hasAll(parts, culprit.parts))) {
 			kept.push({parts, crashes: counted});
 		}
 	}
--- a/test/gateway/quarantine/culprits.test.ts
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -134,3 +134,10 @@
 	const complete = [...earlier, createCrash(4000, ['first', 'rare'], ['other', 'bad'])];
 	t.deepEqual(findParts([...complete, createCrash(5000, ['other', 'bad'])]), ['bad']);
 });
+
+// Guards against a sound part that stays convicted, and hides the crashes of the part at fault, because requests with it are withheld and none can survive.
+test('a convicted part is given back when further crashes show that another part explains all of its crashes', t => {
+	const crashes = [0, 1000, 2000, 3000, 4000, 5000].map(at => createCrash(at, ['first', `rare-${at}`], ['other', 'bad']));
+	t.deepEqual(findParts([...crashes, createCrash(6000, ['other', 'bad'])], {other: 7000}, ['first']), ['first']);
+	t.deepEqual(findParts([...crashes, createCrash(6000, ['other', 'bad']), createCrash(7000, ['third', 'bad'])], {other: 8000}, ['first']), ['bad']);
+});
