--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -158,7 +158,7 @@
 	return settled.length > 0 && settled.length < crashes.length && candidates.some(other => isShared(settled, other) && !isShared(crashes, other));
 }
 
-/** Splits parts with the same crashes: those that one request of each crash had in common can't be told apart and are convicted together. */
+/** Splits parts with the same crashes: those that one request of each crash had in common can't be told apart and are convicted together. Of others, the rarer one is convicted at last: a wrong verdict on it withholds fewer requests, and further crashes correct it. */
 function convict(tied: readonly Candidate[], required: number): Array<readonly string[]> {
 	const parts = tied.map(({part}) => part);
 	const {crashes, count} = tied[0]!;
@@ -166,7 +166,13 @@
 		return [parts];
 	}
 
-	return count >= required + undecidedCrashes ? parts.map(part => [part]) : [];
+	if (count < required + undecidedCrashes) {
+		return [];
+	}
+
+	const suspects = crashes.flatMap(crash => crash.suspects);
+	const requestCounts = parts.map(part => suspects.filter(suspect => suspect.includes(part)).length);
+	return parts.filter((_, index) => requestCounts[index] === Math.min(...requestCounts)).map(part => [part]);
 }
 
 /**
--- a/test/gateway/quarantine/culprits.test.ts
+++ b/test/gateway/quarantine/culprits.test.ts
@@ -141,3 +141,9 @@
 	t.deepEqual(findParts([...crashes, createCrash(6000, ['other', 'bad'])], {other: 7000}, ['first']), ['first']);
 	t.deepEqual(findParts([...crashes, createCrash(6000, ['other', 'bad']), createCrash(7000, ['third', 'bad'])], {other: 8000}, ['first']), ['bad']);
 });
+
+// Guards against a common first part that is withheld for as long as its crashes are those of the part at fault.
+test('of parts that were in the same crashes for too long, the one with fewer requests is convicted', t => {
+	const crashes = Array.from({length: 9}, (_, index) => createCrash(index * 1000, ['other', 'bad'], ['first', `rare-${index}`], ['first', `middle-${index}`]));
+	t.deepEqual(findParts(crashes, {other: 10_000}), ['bad']);
+});
