--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -183,6 +183,9 @@
 			.filter(({versions}) => versions.some((version, index) => index > 0 && version <= versions[index - 1]!))
 			.map(({instance, versions}) => `${instance} took over versions ${versions.join(', ')}`);
 	},
+	'requests-in-one-state'({processes}) {
+		return processes.flatMap(({instance, invalidRequestIds}) => invalidRequestIds.map(requestId => `${instance} had ${requestId} neither waiting nor in an attempt, or both`));
+	},
 	'quota-kept'(history) {
 		const used = findExecutedRequests(history).filter(({request}) => request.workspace === limitedWorkspace).toSorted((a, b) => a.request.sentAt - b.request.sentAt);
 		const allowed = (((bounds.quotaPerSecond * bounds.quotaWindowMs / secondMs) + bounds.quotaBurst) * (1 + bounds.quotaOverageRatio)) + bounds.quotaSlackTokens;
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -76,10 +76,13 @@
 	until: Milliseconds;
 };
 
-/** Configuration versions that one process adopted, in order. */
-export type ProcessVersions = {
+/** What one process logged. */
+export type ProcessRecord = {
 	readonly instance: string;
+	/** Configuration versions that it adopted, in order. */
 	readonly versions: readonly number[];
+	/** Requests that were neither waiting nor in an attempt, or both. */
+	readonly invalidRequestIds: readonly string[];
 };
 
 /** A process that ended without being asked to. */
@@ -94,7 +97,7 @@
 	readonly receivedRequests: readonly ReceivedRequestRecord[];
 	readonly events: readonly SiteEvent[];
 	readonly faultPeriods: readonly FaultPeriod[];
-	readonly processes: readonly ProcessVersions[];
+	readonly processes: readonly ProcessRecord[];
 	readonly exits: readonly ProcessExit[];
 	/** Requests to every instance, sent after all faults had ended. */
 	readonly finalRequests: readonly RequestRecord[];
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -21,7 +21,7 @@
 import type {CallerKey} from './callers.js';
 import {bounds, limitedWorkspace, streamEventCount} from './checks.js';
 import type {
-	FaultPeriod, ProcessExit, ProcessVersions, ReceivedRequestRecord, SiteEvent,
+	FaultPeriod, ProcessExit, ProcessRecord, ReceivedRequestRecord, SiteEvent,
 } from './history.js';
 
 const mainPath = fileURLToPath(new URL('../src/gateway/main.js', import.meta.url));
@@ -351,13 +351,17 @@
 		})));
 	}
 
-	/** Reads from the logs which configuration versions each process adopted. */
-	async readAdoptedVersions(): Promise<ProcessVersions[]> {
+	/** Reads what each process logged. */
+	async readProcessRecords(): Promise<ProcessRecord[]> {
 		const logs = await Promise.all(this.instances.map(async ({host}) => ({host, text: await readFile(this.#logPath(host), 'utf8')})));
-		return logs.flatMap(({host, text}) => text.split('event=started ').slice(1).map(startLog => ({
-			instance: host,
-			versions: startLog.split('\n').map(line => parseLogLine(line)).filter(({event}) => event === 'configuration').map(({version}) => Number(version)),
-		})));
+		return logs.flatMap(({host, text}) => text.split('event=started ').slice(1).map(startLog => {
+			const lines = startLog.split('\n').map(line => parseLogLine(line));
+			return {
+				instance: host,
+				versions: lines.filter(({event}) => event === 'configuration').map(({version}) => Number(version)),
+				invalidRequestIds: lines.filter(({event}) => event === 'request-state-invalid').map(({requestId}) => requestId!),
+			};
+		}));
 	}
 
 	async dispose(): Promise<void> {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -105,7 +105,7 @@
 			events: site.events,
 			faultPeriods: site.faultPeriods,
 			exits: site.exits,
-			processes: await site.readAdoptedVersions(),
+			processes: await site.readProcessRecords(),
 			finalRequests: finalRequests.flat(),
 		});
 		return {violations, statuses: countBy(requests.map(({status}) => status ?? 0)), faults: countBy(faults)};
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -75,8 +75,12 @@
 		this.context.scheduler.submit(this.#waitingRequest);
 	}
 
-	/** Ends the request after its deadline, and an attempt whose stream has stalled. Called periodically. */
+	/** Ends the request after its deadline, an attempt whose stream has stalled, and a request that has no state in which it would be answered. Called periodically. */
 	enforceTimeouts(now: Milliseconds): void {
+		if (!this.#isEnded) {
+			this.#repairState();
+		}
+
 		if (this.#isEnded) {
 			return;
 		}
@@ -150,6 +154,28 @@
 		}
 	}
 
+	/** An open request either waits or is in an attempt. One that did neither would never be answered; one that did both could run twice. */
+	#repairState(): void {
+		const isWaiting = this.context.scheduler.isWaiting(this.#waitingRequest);
+		if (isWaiting !== this.isInFlight) {
+			return;
+		}
+
+		this.#recordInvalidState(isWaiting);
+		if (isWaiting) {
+			this.context.scheduler.withdraw(this.#waitingRequest);
+		} else {
+			this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'notRun', retryAfterMs: 0} : {type: 'endpointFailed'});
+		}
+	}
+
+	#recordInvalidState(isWaiting: boolean): void {
+		this.context.log.event('request-state-invalid', {
+			requestId: this.requestId, isWaiting, isInFlight: this.isInFlight, isEnded: this.#isEnded,
+		});
+		this.context.onInvalidState();
+	}
+
 	#isStalled(attempt: Attempt, now: Milliseconds): boolean {
 		const {route} = this.request;
 		return route.isResumable && attempt.eventCount > 0 && now - attempt.lastProgressAt > stallTimeoutRatio * streamTimeoutMs(route);
@@ -183,6 +209,12 @@
 
 	#dispatch(endpointId: string, inFlight: number): void {
 		const {context, request} = this;
+		if (this.#isEnded || this.isInFlight) {
+			this.#recordInvalidState(true);
+			context.scheduler.recordOutcome(endpointId, attemptOutcomes.cancelled);
+			return;
+		}
+
 		const now = context.clock.now();
 		const endpoint = context.findEndpoint(endpointId);
 		const attempt = Attempt.create({
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -72,5 +72,7 @@
 	readonly recordStatement: (endpoint: EndpointRecord, statement: EndpointStatement, completedSentAt?: Milliseconds) => void;
 	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
+	/** Called when the request was neither waiting nor in an attempt, or both. */
+	readonly onInvalidState: () => void;
 	readonly onEnd: (result: ForwardResult) => void;
 };
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -348,6 +348,9 @@
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
 			},
+			onInvalidState: () => {
+				this.#metrics.recordInvalidState();
+			},
 			onEnd: result => {
 				this.#tasks.delete(task);
 				if (!result.mayHaveRun && workspace !== undefined) {
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -61,6 +61,10 @@
 		name: 'jackdawfork_endpoint_statements_total', help: 'Statements of endpoints about themselves in their responses', labelNames: ['kind'], registers: [this.#registry],
 	});
 
+	readonly #invalidStates = new Counter({
+		name: 'jackdawfork_invalid_request_states_total', help: 'Requests that were neither waiting nor in an attempt, or both', registers: [this.#registry],
+	});
+
 	readonly #waiting = new Gauge({
 		name: 'jackdawfork_waiting_requests', help: 'Requests that wait for an endpoint', labelNames: ['service'], registers: [this.#registry],
 	});
@@ -107,6 +111,10 @@
 		this.#statements.inc({kind});
 	}
 
+	recordInvalidState(): void {
+		this.#invalidStates.inc();
+	}
+
 	async render(values: GaugeValues): Promise<string> {
 		for (const [service, waiting] of Object.entries(values.waiting)) {
 			this.#waiting.set({service}, waiting);
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -140,6 +140,10 @@
 		}
 	}
 
+	isWaiting(request: WaitingRequest): boolean {
+		return this.#queue.has(request);
+	}
+
 	/** Removes a request whose caller has disconnected or whose deadline has passed. */
 	withdraw(request: WaitingRequest): boolean {
 		return this.#queue.remove(request);
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -3,7 +3,7 @@
 	bounds, checks, findViolations, limitedWorkspace, streamEventCount, type CheckName,
 } from '../../soak/checks.js';
 import type {
-	RequestRecord, History, ReceivedRequestRecord, SiteEvent,
+	ProcessRecord, RequestRecord, History, ReceivedRequestRecord, SiteEvent,
 } from '../../soak/history.js';
 import {formatStreamEvent} from '../../standins/platform-endpoint.js';
 
@@ -20,6 +20,12 @@
 	};
 }
 
+function createProcess(values: Partial<ProcessRecord> = {}): ProcessRecord {
+	return {
+		instance: 'i1', versions: [], invalidRequestIds: [], ...values,
+	};
+}
+
 function createHistory(values: Partial<History> = {}): History {
 	return {
 		requests: [createRequest()], receivedRequests: [createReceivedRequest()], events: [], faultPeriods: [], processes: [], exits: [], finalRequests: [], ...values,
@@ -143,8 +149,12 @@
 		},
 	},
 	'versions-grow': {
-		broken: {processes: [{instance: 'i1', versions: [1, 4, 3]}]},
-		kept: {processes: [{instance: 'i1', versions: [1, 4]}, {instance: 'i1', versions: [3]}]},
+		broken: {processes: [createProcess({versions: [1, 4, 3]})]},
+		kept: {processes: [createProcess({versions: [1, 4]}), createProcess({versions: [3]})]},
+	},
+	'requests-in-one-state': {
+		broken: {processes: [createProcess(), createProcess({invalidRequestIds: ['c1']})]},
+		kept: {processes: [createProcess()]},
 	},
 	'quota-kept': {
 		broken: createRequests(80, 50, {workspace: limitedWorkspace, units: 200}),
@@ -204,7 +214,7 @@
 		kind: 'killed', instance, at: 5500, until: 6000,
 	}));
 	const history = {
-		...createCrashingRequests(6), events: crashes, processes: killed.map(({instance}) => ({instance, versions: []})),
+		...createCrashingRequests(6), events: crashes, processes: killed.map(({instance}) => createProcess({instance})),
 	};
 	t.true(checks['crashing-part-withheld'](createHistory(history)).length > 0);
 	t.deepEqual(checks['crashing-part-withheld'](createHistory({...history, faultPeriods: killed})), []);
