--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -34,6 +34,7 @@
 	}
 
 	readonly #active = new Map<string, ActiveDispatch>();
+	#isStopping = false;
 
 	readonly #resultHandlers: {[Kind in DispatchResult['kind']]: (active: ActiveDispatch, result: Extract<DispatchResult, {kind: Kind}>) => void} = {
 		completed: (active, result) => {
@@ -43,7 +44,7 @@
 			if (this.#mayRetry(active, result.symptom)) {
 				this.#retry(active);
 			} else {
-				this.#handleFailed(active, result.failure);
+				this.#handleFailed(active, this.#isStopping ? failureOfStop(result.failure) : result.failure);
 			}
 		},
 		'not-sent': (active, result) => {
@@ -115,8 +116,9 @@
 		}
 	}
 
-	/** Aborts all requests in flight, at the deadline of a shutdown. */
+	/** Aborts all requests in flight, at the deadline of a shutdown. From then on none is queued again, because the waiting ones have been refused. */
 	abortAll(): void {
+		this.#isStopping = true;
 		for (const {abortController} of this.#active.values()) {
 			abortController.abort(new Error('the entry instance stops'));
 		}
@@ -308,6 +310,11 @@
 		const {backoff, logger} = this.context;
 		const {submission} = active.pending;
 		logger.info({requestId: submission.requestId, endpoint: active.endpoint.name, reason}, 'request-not-sent');
+		if (this.#isStopping) {
+			this.admission.refuse(submission, 'shutting-down', 'the entry instance stopped before the request was dispatched');
+			return;
+		}
+
 		if (reason === 'aborted') {
 			this.admission.refuse(submission, 'cancelled', 'the caller disconnected before the request was dispatched');
 			return;
@@ -330,6 +337,7 @@
 	#mayRetry({pending: {submission}, firstByteAt}: ActiveDispatch, symptom: EndpointSymptom): boolean {
 		const {clock, registry, retryBudget} = this.context;
 		return submission.isIdempotent
+			&& !this.#isStopping
 			&& symptom === 'reset'
 			&& firstByteAt === undefined
 			&& registry.findRecord(submission.requestId)?.state === 'dispatching'
@@ -347,6 +355,13 @@
 	}
 }
 
+/** Returns the failure of a request that was under way at the deadline of a shutdown: its caller has not cancelled it. */
+function failureOfStop(failure: Failure): Failure {
+	return failure.type === 'cancelled'
+		? createFailure('outcome-unknown', 'the entry instance stopped while the request was under way', {requestId: failure.requestId, outcome: failure.outcome})
+		: failure;
+}
+
 /** Whether the endpoint may still be processing a request whose end this entry has not seen. A cancelled request stops at an engine, but may continue at a plain service. */
 function mayStillRun({pending}: ActiveDispatch, result: DispatchResult): boolean {
 	if (result.kind !== 'failed' || result.symptom === 'server-error') {
