Close idle connections of callers only after what has arrived is read

What callers saw: a request that arrived on a kept connection while the process was busy beyond the idle timeout was reset. `node:http` keeps the timeout by a timer, and timers run before anything is read after a long step of the event loop. Its header timeout has the same fault, but is checked only every 30 s; it ended with a 400, which promises nothing and is not retried. A connection that was opened ahead of its first request got such a 400, too.

Change: `CallerConnections` replaces both timeouts. It judges every 500 ms, after an immediate, by the bytes that a connection has received. A head that stops is refused with 408 (not run) after the header timeout; a connection without a request is closed in order and without a response after the idle timeout. The idle timeout of a connection is the announced one or that of the current configuration, whichever is longer, so a lowered limit cuts nobody who was told the longer one, and a raised limit holds at once. The last response is followed by up to 1 s in which the caller may close, because a reset would destroy what it has not read.

The tests of a late head and of an empty line between requests passed before; they guard the new code.

Ruled out: an own listener of the server's `timeout` event with Node's timers kept, which leaves a connection open for ever after an empty line, and can't tell a stopped head from an idle connection.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -2,12 +2,14 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import type {Socket} from 'node:net';
 import type {SocketAddress} from '../../shared/address.js';
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {describeError} from '../../shared/describe-error.js';
 import {closeAfterReading, listen, readArrivedRequests} from '../../shared/listen.js';
 import type {EventLog} from '../observability/event-log.js';
 import type {CallerLimits} from '../site/types.js';
+import {CallerConnections} from './caller-connections.js';
 import {HttpResponse} from './http-response.js';
 
 /** Limits that apply until a configuration is known. */
@@ -33,6 +35,11 @@
 	return bytes;
 }
 
+/** The last response on a connection, to what is not a complete request. */
+function responseWithoutBody(status: string): string {
+	return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+}
+
 /** A request that has been received completely. */
 export type ReceivedRequest = {
 	readonly message: IncomingMessage;
@@ -57,6 +64,7 @@
 	}
 
 	readonly #server: Server;
+	readonly #connections: CallerConnections;
 	#limits = defaultLimits;
 	#isStopping = false;
 	#openRequests = 0;
@@ -69,11 +77,33 @@
 		}, (message, response) => {
 			this.#handle(message, response);
 		});
-		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		this.#connections = CallerConnections.create({
+			clock: options.clock,
+			limits: () => this.#limits,
+			onHeaderTimeout: socket => {
+				options.log.event('caller-connection-failed', {reason: 'header timeout'});
+				this.#connections.end(socket, responseWithoutBody('408 Request Timeout'));
+			},
+		});
+		this.#server.on('connection', socket => {
+			this.#connections.add(socket);
+		});
+		this.#server.on('close', () => {
+			this.#connections.dispose();
+		});
+		this.#server.on('timeout', () => {
+			// Without a listener, Node.js destroys the connection.
+		});
+		this.#server.headersTimeout = 0;
+		this.#server.requestTimeout = 0;
+		this.#server.on('checkExpectation', (_message, response) => {
+			response.writeHead(417, {connection: 'close'});
+			response.end();
+		});
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			options.log.event('caller-connection-failed', {reason: error.code ?? error.message});
 			if (socket.writable && error.code !== 'ECONNRESET') {
-				const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request';
-				socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+				this.#connections.end(socket, responseWithoutBody(error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'));
 			} else {
 				socket.destroy();
 			}
@@ -93,9 +123,8 @@
 
 	setLimits(limits: CallerLimits): void {
 		this.#limits = limits;
-		this.#server.headersTimeout = limits.headerTimeoutMs;
+		// Responses announce it; `CallerConnections` enforces it.
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
-		this.#server.requestTimeout = 0;
 	}
 
 	/** From now on, each response closes its connection. */
@@ -130,6 +159,7 @@
 
 	#handle(message: IncomingMessage, response: ServerResponse): void {
 		this.#openRequests++;
+		this.#connections.addRequest(message, response);
 		const arrivedAt = this.options.clock.now();
 		const callerResponse = HttpResponse.create(response, () => this.#isStopping);
 		const chunks: Uint8Array[] = [];
