Judge a body by its absence only after what has arrived is read

What callers saw: a request whose rest arrived while the process was busy beyond the idle timeout was refused with 408, although it was complete. The timer of the body ran before the rest was read.

Change: after the timer, the body is judged by what one more round of reading brings. A second expiry after a failure no longer destroys the response of the first one.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -173,7 +173,13 @@
 
 		// Restarted by each chunk, as a slow link needs time in proportion to the length of the body.
 		const bodyTimer = setTimeout(() => {
-			fail('bodyTimeout');
+			const bytesBefore = bytes;
+			// What has arrived is read before the body is judged by its absence.
+			setImmediate(() => {
+				if (bytes === bytesBefore && !message.complete && !hasFailed) {
+					fail('bodyTimeout');
+				}
+			});
 		}, this.#limits.idleTimeoutMs);
 		let onDisconnect: (() => void) | undefined;
 		response.on('close', () => {
--- a/test/gateway/callers/caller-timeouts.test.ts
+++ b/test/gateway/callers/caller-timeouts.test.ts
@@ -136,3 +136,11 @@
 	const text = await caller.receiveResponses(2);
 	t.is(text.match(/HTTP\/1\.1 200 /gv)?.length, 2);
 });
+
+// Guards against a request that is refused because the timer of its body expired while the process was busy and had not read it.
+test.serial('a body whose rest arrives while the process is busy beyond the idle timeout is accepted', async t => {
+	const {caller} = await startWithCallerThread(t, {idleTimeoutMs: 600});
+	await caller.connect();
+	await caller.write('POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nabc');
+	t.regex(await sendWhileBusy(caller, 300, 1500, 'def'), /^HTTP\/1\.1 200 .*done$/sv);
+});
