Close only connections whose responses have been handed over completely

What callers saw: a caller that reads slowly got a response that broke off after its last byte had been written by the gateway, when idle connections were closed in a planned stop. `node:http` counts a connection as idle as soon as its response has been ended, and `server.close` closes idle connections, too. It doesn't count connections that never carried a request, so these were only reset when the process ended.

Change: `closeIdleConnections` of the server, which `close` also calls, asks `CallerConnections`: a connection is idle when each response has been handed to the operating system and no part of a next request has arrived.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -85,6 +85,11 @@
 				this.#connections.end(socket, responseWithoutBody('408 Request Timeout'));
 			},
 		});
+		// Also called by the server's `close`.
+		this.#server.closeIdleConnections = () => {
+			this.#connections.closeIdle();
+		};
+
 		this.#server.on('connection', socket => {
 			this.#connections.add(socket);
 		});
