--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -12,7 +12,7 @@
 /** Timeout of a question to the reader; after it, this instance reads the store itself. */
 const askTimeoutMs = 150;
 
-/** Rounds of questions to witnesses: questions and answers are lost, and busy instances answer late. */
+/** Rounds of questions to witnesses before an outage is assumed that some of them report: questions and answers are lost, and busy instances answer late. */
 const witnessRounds = 3;
 
 /** Largest age of the last read of a witness: the store may have been down since then, but not for long enough that records have expired. */
@@ -43,6 +43,12 @@
 	readRecords(timeoutMs: Milliseconds): Promise<SiteSnapshot>;
 };
 
+/** What other instances tell about the store during the last gap between reads. */
+type OutageFinding
+	= | {readonly kind: 'served'; readonly witness: string}
+		| {readonly kind: 'outage'}
+		| {readonly kind: 'unanswered'};
+
 /** A configuration that another instance has confirmed. */
 type ConfirmedConfiguration = {
 	readonly digest: string;
@@ -101,6 +107,7 @@
 	/** Reads that failed since the last one that succeeded. */
 	#failedReads = 0;
 	#isDisposed = false;
+	#isCheckingForOutage = false;
 
 	readonly #intervalMs: Milliseconds;
 
@@ -183,15 +190,16 @@
 			}
 
 			const datedAt = Math.min(sentAt, confirmed?.confirmedAt ?? Infinity);
-			const hasStoreServed = state.keepsMissing(snapshot, datedAt, receivedAt) && await this.#hasStoreServed();
-			const changes = state.apply(snapshot, datedAt, receivedAt, hasStoreServed);
-			if (changes.some(({kind}) => kind === 'endpoint-missing')) {
+			const changes = state.apply(snapshot, datedAt, receivedAt);
+			if (changes.some(({kind}) => kind === 'endpoint-held' || kind === 'endpoint-missing')) {
 				this.#schedule(this.#intervalMs);
 			}
 
 			if (changes.length > 0) {
 				onChanges(changes);
 			}
+
+			void this.#checkForOutage();
 		} catch (error) {
 			onRead('failed', clock.now() - sentAt);
 			this.#recordFailure(error);
@@ -200,42 +208,112 @@
 		}
 	}
 
-	/** Asks other instances whether they have read the store without a gap, because a record can't have expired then. */
-	async #hasStoreServed(): Promise<boolean> {
-		const {findWitnesses, log} = this.options;
+	/**
+	Asks other instances whether they have read the store without a gap, because a record can't have expired then.
+
+	Endpoints without a record get no requests until one has answered, or their time ends.
+	*/
+	async #checkForOutage(): Promise<void> {
+		const {state, clock, log} = this.options;
+		if (this.#isCheckingForOutage) {
+			return;
+		}
+
+		this.#isCheckingForOutage = true;
+		try {
+			while (!this.#isDisposed && state.removalDueInMs(clock.now()) !== Infinity) {
+				// eslint-disable-next-line no-await-in-loop -- answers don't hold for a gap that ended after their questions
+				if (await this.#decideOnMissing()) {
+					return;
+				}
+			}
+		} catch (error) {
+			log.event('outage-check-failed', {dependency: 'store', reason: describeError(error)});
+		} finally {
+			this.#isCheckingForOutage = false;
+		}
+	}
+
+	/** Returns whether others have told what becomes of the endpoints that now have no record. */
+	async #decideOnMissing(): Promise<boolean> {
+		const {state, clock, log, onChanges} = this.options;
+		const {graceUntil} = state;
+		const isOpen = () => !this.#isDisposed && state.graceUntil === graceUntil && state.removalDueInMs(clock.now()) !== Infinity;
 		const asked = new Set<string>();
+		const answers = new Map<string, string>();
+		const finding = await this.#askWitnesses(isOpen, asked, answers);
+		const fields = {dependency: 'store', asked: [...asked].join(','), answers: [...answers.values()].join(',')};
+		if (finding.kind === 'unanswered' || !isOpen()) {
+			log.event('outage-unanswered', fields);
+			return false;
+		}
+
+		let changes: readonly SiteChange[];
+		if (finding.kind === 'served') {
+			log.event('outage-disproved', {dependency: 'store', witness: finding.witness});
+			changes = state.disproveOutage();
+		} else {
+			log.event('outage-assumed', fields);
+			changes = state.assumeOutage(clock.now());
+		}
+
+		if (changes.length > 0) {
+			onChanges(changes);
+		}
+
+		return true;
+	}
+
+	/**
+	@param isOpen whether the question still matters; not when the endpoints have gone or their records are back, or another gap has ended
+	@param asked gets the instances that were asked
+	@param answers gets what those have answered that can't tell that the store has served
+	*/
+	async #askWitnesses(isOpen: () => boolean, asked: Set<string>, answers: Map<string, string>): Promise<OutageFinding> {
+		const {clock, state, findWitnesses} = this.options;
 		const questions: Array<Promise<string>> = [];
-		const reasons: string[] = [];
-		for (let remainingRounds = witnessRounds; remainingRounds > 0; remainingRounds--) {
+		for (let round = 1; isOpen(); round++) {
+			const roundEndsAt = clock.now() + askTimeoutMs;
 			for (const host of findWitnesses()) {
 				asked.add(host);
-				// Late answers to the first questions count, too.
-				questions.push(this.#askWitness(host, remainingRounds * askTimeoutMs, reasons));
+				// Late answers count, too.
+				questions.push(this.#askWitness(host, state.removalDueInMs(clock.now()), answers));
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- another round is needed only when the one before had no answer
 			const witness = await firstWithin(questions, askTimeoutMs);
 			if (witness !== undefined) {
-				log.event('outage-disproved', {dependency: 'store', witness});
-				return true;
+				return {kind: 'served', witness};
+			}
+
+			if (asked.size === 0 || (answers.size > 0 && round >= witnessRounds)) {
+				return {kind: 'outage'};
+			}
+
+			if (answers.size < asked.size) {
+				// eslint-disable-next-line no-await-in-loop
+				await delay(Math.max(0, roundEndsAt - clock.now()));
 			}
 		}
 
-		log.event('outage-assumed', {dependency: 'store', asked: [...asked].join(','), answers: reasons.join(',')});
-		return false;
+		return {kind: 'unanswered'};
 	}
 
 	/**
 	Returns the host if its instance has read the store without a gap.
 
-	@param reasons gets the reason when it has not
+	@param answers gets the answer when it has not
 	@throws {Error} when it has not, or doesn't answer in time
 	*/
-	async #askWitness(host: string, timeoutMs: Milliseconds, reasons: string[]): Promise<string> {
+	async #askWitness(host: string, timeoutMs: Milliseconds, answers: Map<string, string>): Promise<string> {
 		const answer = await this.options.ask(host, timeoutMs);
-		if (answer === undefined || answer.ageMs > maximumWitnessAgeMs || answer.recordGraceMs > 0) {
-			const reason = answer === undefined ? `${host} none` : `${host} age ${Math.round(answer.ageMs)} grace ${Math.round(answer.recordGraceMs)}`;
-			reasons.push(reason);
+		if (answer === undefined) {
+			throw new Error(`${host} none`);
+		}
+
+		if (answer.ageMs > maximumWitnessAgeMs || answer.recordGraceMs > 0) {
+			const reason = `${host} age ${Math.round(answer.ageMs)} grace ${Math.round(answer.recordGraceMs)}`;
+			answers.set(host, reason);
 			throw new Error(reason);
 		}
 
--- a/src/gateway/site/site-state.ts
+++ b/src/gateway/site/site-state.ts
@@ -18,7 +18,9 @@
 		| {readonly kind: 'endpoint-restarted'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'endpoint-changed'; readonly endpoint: EndpointRecord}
 		| {readonly kind: 'endpoint-removed'; readonly endpoint: EndpointRecord}
-		/** Its record may have expired during an outage of the store, so it stays in use for a while. */
+		/** Its record is missing, and whether it expired during an outage of the store is not known yet. It gets no requests until then. */
+		| {readonly kind: 'endpoint-held'; readonly endpoint: EndpointRecord}
+		/** Its record has probably expired during an outage of the store, so it stays in use for a while. */
 		| {readonly kind: 'endpoint-missing'; readonly endpoint: EndpointRecord; readonly keptForMs: Milliseconds}
 		| {readonly kind: 'zone-evacuated'; readonly availabilityZone: string}
 		| {readonly kind: 'zone-returned'; readonly availabilityZone: string}
@@ -42,10 +44,12 @@
 	#confirmedAt: Milliseconds | undefined;
 	#digest: string | undefined;
 	#configurationDigest: string | undefined;
-	/** Endpoints that are kept without a record, so that a later read may change the state without a change in the store. */
-	#missingIds: ReadonlySet<string> = new Set();
+	/** Last records of the endpoints that are kept without one, so that a later read may change the state without a change in the store. */
+	#missing: ReadonlyMap<string, EndpointRecord> = new Map();
 	/** Time until which endpoints without a record are kept. */
 	#graceUntil: Milliseconds = -Infinity;
+	/** Whether other instances report an outage of the store, so that endpoints without a record are used. */
+	#isOutageAssumed = false;
 	/** Time before which records may be missing because of an outage that ended just before the start of this process. */
 	#knowsOutagesFrom: Milliseconds = Infinity;
 
@@ -78,9 +82,14 @@
 		return this.#configurationDigest;
 	}
 
+	/** Time until which endpoints without a record are kept. It changes with each gap between reads. */
+	get graceUntil(): Milliseconds {
+		return this.#graceUntil;
+	}
+
 	/** Time until endpoints without a record are to be removed by a read; Infinity when there are none, or when that time is over. */
 	removalDueInMs(now: Milliseconds): Milliseconds {
-		return this.#missingIds.size > 0 && now < this.#graceUntil ? this.#graceUntil - now : Infinity;
+		return this.#missing.size > 0 && now < this.#graceUntil ? this.#graceUntil - now : Infinity;
 	}
 
 	/** Time for which records of live endpoints may still be missing in the store, as far as this process can tell. */
@@ -96,41 +105,28 @@
 	@returns false when the content differs, or when this state may change without a change in the store
 	*/
 	confirm({digest, ageMs, recordGraceMs}: SiteConfirmation, askedAt: Milliseconds, now: Milliseconds): boolean {
-		if (this.#confirmedAt === undefined || digest !== this.#digest || this.#missingIds.size > 0) {
+		if (this.#confirmedAt === undefined || digest !== this.#digest || this.#missing.size > 0) {
 			return false;
 		}
 
-		if (this.#isAfterGap(now)) {
-			this.#graceUntil = now + recordGraceMs;
-		}
+		this.#startGraceAfterGap(now, recordGraceMs);
 
 		this.#confirmedAt = Math.max(this.#confirmedAt, askedAt - ageMs);
 		return true;
 	}
 
-	/** Whether `apply` would keep an endpoint without a record because its record may have expired. */
-	keepsMissing(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds): boolean {
-		if (this.#isOutdated(sentAt) || now >= this.#graceEnd(now)) {
-			return false;
-		}
-
-		const recordedIds = new Set(snapshot.endpoints.map(({id}) => id));
-		return [...this.#endpoints.keys()].some(id => !recordedIds.has(id));
-	}
-
 	/**
 	Applies a snapshot. It is ignored when its read was sent before that of the last one, so the state never goes backward.
 
 	@param sentAt when the read was sent
 	@param now when the snapshot was received
-	@param hasStoreServed whether the store is known to have received the heartbeats of the endpoints since the last snapshot, so that no record has expired
 	*/
-	apply(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds, hasStoreServed = false): SiteChange[] {
-		if (this.#isOutdated(sentAt)) {
+	apply(snapshot: SiteSnapshot, sentAt: Milliseconds, now: Milliseconds): SiteChange[] {
+		if (this.#confirmedAt !== undefined && sentAt <= this.#confirmedAt) {
 			return [];
 		}
 
-		this.#graceUntil = hasStoreServed ? -Infinity : this.#graceEnd(now);
+		this.#startGraceAfterGap(now, expiredRecordGraceMs);
 		if (this.#confirmedAt === undefined) {
 			this.#knowsOutagesFrom = now + expiredRecordGraceMs;
 		}
@@ -151,16 +147,31 @@
 		return changes;
 	}
 
-	#isOutdated(sentAt: Milliseconds): boolean {
-		return this.#confirmedAt !== undefined && sentAt <= this.#confirmedAt;
+	/** Uses the endpoints without a record until their time ends, because the store probably had an outage. */
+	assumeOutage(now: Milliseconds): SiteChange[] {
+		if (this.#isOutageAssumed || now >= this.#graceUntil) {
+			return [];
+		}
+
+		this.#isOutageAssumed = true;
+		this.#endpoints = new Map([...this.#endpoints, ...this.#missing]);
+		return [...this.#missing.values()].map(endpoint => ({kind: 'endpoint-missing', endpoint, keptForMs: Math.round(this.#graceUntil - now)}));
 	}
 
-	#isAfterGap(now: Milliseconds): boolean {
-		return this.#confirmedAt !== undefined && now - this.#confirmedAt > outageThresholdMs;
+	/** Removes the endpoints without a record, because the store has served all the time, so that no record has expired. */
+	disproveOutage(): SiteChange[] {
+		const removed = [...this.#missing.values()];
+		this.#graceUntil = -Infinity;
+		this.#endpoints = new Map([...this.#endpoints].filter(([id]) => !this.#missing.has(id)));
+		this.#missing = new Map();
+		return removed.map(endpoint => ({kind: 'endpoint-removed', endpoint}));
 	}
 
-	#graceEnd(now: Milliseconds): Milliseconds {
-		return this.#isAfterGap(now) ? now + expiredRecordGraceMs : this.#graceUntil;
+	#startGraceAfterGap(now: Milliseconds, graceMs: Milliseconds): void {
+		if (this.#confirmedAt !== undefined && now - this.#confirmedAt > outageThresholdMs) {
+			this.#graceUntil = now + graceMs;
+			this.#isOutageAssumed = false;
+		}
 	}
 
 	#applyConfiguration({configuration}: SiteSnapshot): SiteChange[] {
@@ -192,24 +203,28 @@
 			}
 		}
 
-		const missingIds = new Set<string>();
-		for (const endpoint of this.#endpoints.values()) {
-			if (endpoints.has(endpoint.id)) {
+		const missing = new Map<string, EndpointRecord>();
+		for (const known of this.#endpoints.values()) {
+			if (endpoints.has(known.id)) {
 				continue;
 			}
 
-			if (now < this.#graceUntil) {
-				missingIds.add(endpoint.id);
-				endpoints.set(endpoint.id, endpoint);
-				if (!this.#missingIds.has(endpoint.id)) {
-					changes.push({kind: 'endpoint-missing', endpoint, keptForMs: Math.round(this.#graceUntil - now)});
-				}
-			} else {
+			const endpoint = this.#missing.get(known.id) ?? known;
+			if (now >= this.#graceUntil) {
 				changes.push({kind: 'endpoint-removed', endpoint});
+				continue;
+			}
+
+			missing.set(endpoint.id, endpoint);
+			endpoints.set(endpoint.id, this.#isOutageAssumed ? endpoint : {...endpoint, isLeaving: true});
+			if (!this.#missing.has(endpoint.id)) {
+				changes.push(this.#isOutageAssumed
+					? {kind: 'endpoint-missing', endpoint, keptForMs: Math.round(this.#graceUntil - now)}
+					: {kind: 'endpoint-held', endpoint});
 			}
 		}
 
-		this.#missingIds = missingIds;
+		this.#missing = missing;
 		this.#endpoints = endpoints;
 		return changes;
 	}
--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -151,6 +151,59 @@
 	t.is(gateway.memoryLog.linesOf('outage-disproved').length, 1);
 });
 
+// Guards against an outage that is assumed because no other instance answers, and requests that endpoints get which have left.
+test.serial('an instance that the store had turned away and that no other one answers sends nothing to endpoints without a record', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	await site.addEndpoint({id: 'remaining', isEngine: false});
+	const {gateway, proxy} = await site.addGatewayBehindProxy();
+	const other = await site.addGateway();
+	await until(() => gateway.memoryLog.linesOf('peer-joined').length === 1);
+	const endpoint = await site.addEndpoint({id: 'leaving', isEngine: false});
+	await until(() => gateway.memoryLog.linesOf('endpoint-added').some(line => line.includes('leaving')));
+	proxy.setFault({resetsConnections: true});
+	site.store.remove('servers/leaving');
+	await until(() => !gateway.process.isReady);
+	// It remains a member, and answers nothing.
+	await other.process.dispose();
+	proxy.clearFaults();
+	await until(() => gateway.process.isReady);
+	const statuses: number[] = [];
+	while (gateway.memoryLog.linesOf('endpoint-removed').length === 0) {
+		// eslint-disable-next-line no-await-in-loop
+		const answers = await Promise.all(Array.from({length: 4}, async () => call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'})));
+		statuses.push(...answers.map(({status}) => status));
+		// eslint-disable-next-line no-await-in-loop
+		await delay(50);
+	}
+
+	t.deepEqual(endpoint.executedRequestIds, []);
+	t.deepEqual(new Set(statuses), new Set([200]));
+});
+
+// Guards against instances that wait for each other after an outage of the store, while callers wait for endpoints whose records have expired.
+test.serial('after an outage of the store for all instances, endpoints whose records have expired are used at each one', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	await site.addEndpoint({id: 'expired', isEngine: false});
+	const instances = [await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy()];
+	await until(() => instances.every(({gateway}) => gateway.memoryLog.linesOf('peer-joined').length === 1));
+	for (const {proxy} of instances) {
+		proxy.setFault({resetsConnections: true});
+	}
+
+	await until(() => instances.every(({gateway}) => !gateway.process.isReady));
+	site.store.remove('servers/expired');
+	for (const {proxy} of instances) {
+		proxy.clearFaults();
+	}
+
+	await until(() => instances.every(({gateway}) => gateway.memoryLog.linesOf('endpoint-missing').length === 1));
+	const answers = await Promise.all(instances.map(async ({gateway}) => call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'})));
+	t.deepEqual(answers.map(({status}) => status), [200, 200]);
+	t.deepEqual(instances.flatMap(({gateway}) => gateway.memoryLog.linesOf('endpoint-removed')), []);
+});
+
 // Guards against a process that ends because no request is open, while one that has arrived is unread because it was busy.
 test.serial('a request that arrives while a stopping process is busy is answered before it ends', async t => {
 	const site = await GatewaySite.start();
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -2,7 +2,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {SiteReaderTask, type SiteReaderOptions, type SiteSource} from '../../../src/gateway/site/site-reader-task.js';
 import {SiteState, type SiteChange} from '../../../src/gateway/site/site-state.js';
-import type {SiteSnapshot} from '../../../src/gateway/site/types.js';
+import type {SiteConfirmation, SiteSnapshot} from '../../../src/gateway/site/types.js';
 import {SystemClock, type Clock} from '../../../src/shared/clock.js';
 import {createConfirmation, createEndpoint, createSnapshot} from '../../fixtures/gateway/documents.js';
 import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
@@ -167,15 +167,15 @@
 	skippedMs = 5000;
 	isDown = false;
 	await until(() => memoryLog.linesOf('dependency-regained').length === 2);
-	await until(() => changes.some(({kind}) => kind.startsWith('endpoint-') && kind !== 'endpoint-added'));
-	return {state, endpointChanges: changes.map(({kind}) => kind).filter(kind => kind.startsWith('endpoint-'))};
+	await until(() => changes.some(({kind}) => kind === 'endpoint-removed' || kind === 'endpoint-missing'));
+	return {state, endpointChanges: changes.map(({kind}) => kind).filter(kind => kind.startsWith('endpoint-')), memoryLog};
 }
 
 // Guards against requests to an endpoint that left while only this instance could not read the store.
 test('an endpoint that left is removed with the first read when another instance has read the store all the time', async t => {
 	const answers = new Map([['10.0.0.3', createConfirmation({digest: 'other', ageMs: 90})], ['10.0.0.4', createConfirmation({recordGraceMs: 500})]]);
 	const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2', '10.0.0.3', '10.0.0.4'], ask: async host => answers.get(host)});
-	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', 'endpoint-removed']);
 });
 
 // Guards against an outage that is assumed because every answer comes a little later than the reader waits for one, as from instances with too little processor time.
@@ -188,27 +188,93 @@
 			return timeoutMs > answerDelayMs ? createConfirmation({ageMs: 90}) : undefined;
 		},
 	});
-	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', 'endpoint-removed']);
 });
 
 // Guards against an outage that is assumed because the others were as busy as this instance and have not read the store within the last moment.
 test('a witness whose last read is older than a confirmation may be, but newer than records expire, counts', async t => {
 	const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => createConfirmation({ageMs: 1800})});
-	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-removed']);
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', 'endpoint-removed']);
 });
 
 // Guards against an outage of the store that takes all endpoints away, because each instance relies on another that knows no more.
-for (const [what, answer] of [
-	['gives no answer', undefined],
-	['had the outage too', createConfirmation({recordGraceMs: 1500})],
-	['has not read the store recently', createConfirmation({ageMs: 5000})],
+for (const [what, witnesses, answer] of [
+	['is gone', [], undefined],
+	['had the outage too', ['10.0.0.2'], createConfirmation({recordGraceMs: 1500})],
+	['has not read the store recently', ['10.0.0.2'], createConfirmation({ageMs: 5000})],
 ] as const) {
 	test(`an endpoint whose record is missing is kept when every other instance ${what}`, async t => {
-		const {endpointChanges} = await loseStore(t, {findWitnesses: () => ['10.0.0.2'], ask: async () => answer});
-		t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-missing']);
+		const {endpointChanges} = await loseStore(t, {findWitnesses: () => witnesses, ask: async () => answer});
+		t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', 'endpoint-missing']);
+	});
+}
+
+// Guards against requests to an endpoint that left, sent because no other instance has answered yet.
+test('an endpoint whose record is missing takes no requests while no other instance answers', async t => {
+	const {endpointChanges, memoryLog} = await loseStore(t, {
+		findWitnesses: () => ['10.0.0.2'],
+		async ask(_host, timeoutMs) {
+			await delay(timeoutMs);
+			return undefined;
+		},
+	});
+	t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', 'endpoint-removed']);
+	await until(() => memoryLog.linesOf('outage-unanswered').length === 1);
+	t.deepEqual(memoryLog.linesOf('outage-assumed'), []);
+});
+
+for (const [what, answer, lastChange] of [
+	['has read the store all the time', createConfirmation({ageMs: 90}), 'endpoint-removed'],
+	['had the outage too', createConfirmation({recordGraceMs: 1500}), 'endpoint-missing'],
+] as const) {
+	test(`the first answer decides however late it is, from an instance that ${what}`, async t => {
+		const answerDelayMs = 900;
+		const {endpointChanges} = await loseStore(t, {
+			findWitnesses: () => ['10.0.0.2'],
+			async ask(_host, timeoutMs) {
+				await delay(Math.min(timeoutMs, answerDelayMs));
+				return timeoutMs > answerDelayMs ? answer : undefined;
+			},
+		});
+		t.deepEqual(endpointChanges, ['endpoint-added', 'endpoint-held', lastChange]);
 	});
 }
 
+// Guards against an answer about one gap that is taken for one about the next, in which the store may have been down.
+test('an answer to a question about an earlier gap does not count', async t => {
+	let skippedMs = 0;
+	const systemClock = SystemClock.create();
+	const clock: Clock = {now: () => systemClock.now() + skippedMs, wallTime: () => systemClock.wallTime()};
+	let endpoints = [createEndpoint()];
+	const answers: Array<(confirmation: SiteConfirmation) => void> = [];
+	const {reader, state, changes} = createReader(t, {
+		async read() {
+			return createSnapshot({endpoints});
+		},
+	}, {
+		clock,
+		findWitnesses: () => ['10.0.0.2'],
+		ask: async () => new Promise(resolve => {
+			answers.push(resolve);
+		}),
+	});
+	reader.start();
+	await until(() => state.endpoints.size === 1);
+	endpoints = [];
+	skippedMs = 5000;
+	await until(() => answers.length > 0);
+	const {graceUntil} = state;
+	skippedMs = 10_000;
+	await until(() => state.graceUntil !== graceUntil);
+	answers[0]!(createConfirmation({ageMs: 90}));
+	await delay(300);
+	t.false(changes.some(({kind}) => kind === 'endpoint-removed'));
+	t.is(state.endpoints.size, 1);
+	answers.at(-1)!(createConfirmation({ageMs: 90}));
+	await until(() => changes.some(({kind}) => kind === 'endpoint-removed'));
+	t.is(state.endpoints.size, 0);
+});
+
 // Guards against an endpoint that is kept until the next read, which may come much later than the end of its time.
 test('an endpoint whose record does not come back is removed when its time ends, however long the interval of reads is', async t => {
 	// Reads every 4,500 ms.
--- a/test/gateway/site/site-state.test.ts
+++ b/test/gateway/site/site-state.test.ts
@@ -43,8 +43,9 @@
 test('an endpoint whose record expired during an outage of the store is kept for two seconds and then removed', t => {
 	const state = SiteState.create();
 	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
-	t.deepEqual(state.apply(createSnapshot(), 6000, 6001), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 2000}]);
-	t.is(state.endpoints.size, 1);
+	t.deepEqual(state.apply(createSnapshot(), 6000, 6001), [{kind: 'endpoint-held', endpoint: createEndpoint()}]);
+	t.deepEqual(state.assumeOutage(6001), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 2000}]);
+	t.deepEqual([...state.endpoints.values()], [createEndpoint()]);
 	t.deepEqual(state.apply(createSnapshot(), 7000, 7001), [], 'it is reported once');
 	t.is(state.endpoints.size, 1);
 	state.apply(createSnapshot(), 8100, 8101);
@@ -97,10 +98,31 @@
 test('an endpoint that left while others read the store is removed at once', t => {
 	const state = SiteState.create();
 	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
-	t.false(state.keepsMissing(createSnapshot({endpoints: [createEndpoint()]}), 6000, 6001));
-	t.true(state.keepsMissing(createSnapshot(), 6000, 6001));
-	t.deepEqual(state.apply(createSnapshot(), 6000, 6001, true).map(({kind}) => kind), ['endpoint-removed']);
-	t.is(state.recordGraceMs(6001), 0);
+	t.deepEqual(state.apply(createSnapshot({endpoints: [createEndpoint()]}), 6000, 6001), []);
+	t.is(state.removalDueInMs(6001), Infinity);
+	state.apply(createSnapshot(), 6500, 6501);
+	t.deepEqual(state.disproveOutage(), [{kind: 'endpoint-removed', endpoint: createEndpoint()}]);
+	t.is(state.endpoints.size, 0);
+	t.is(state.recordGraceMs(6501), 0);
+	t.deepEqual(state.apply(createSnapshot(), 7000, 7001), []);
+});
+
+// Guards against requests to an endpoint that has left, sent by an instance that does not know yet whether its record has expired.
+test('an endpoint without a record takes no requests until an outage is assumed or its record is back', t => {
+	const state = SiteState.create();
+	const [lost, returning] = [createEndpoint({id: 'lost'}), createEndpoint({id: 'returning'})];
+	state.apply(createSnapshot({endpoints: [lost, returning]}), 0, 1);
+	state.apply(createSnapshot(), 6000, 6001);
+	t.deepEqual([...state.endpoints.values()].map(({isLeaving}) => isLeaving), [true, true]);
+	t.deepEqual(state.apply(createSnapshot({endpoints: [returning]}), 6500, 6501), [{kind: 'endpoint-changed', endpoint: returning}]);
+	t.deepEqual(new Map([...state.endpoints].map(([id, {isLeaving}]) => [id, isLeaving])), new Map([['returning', false], ['lost', true]]));
+	t.deepEqual(state.assumeOutage(6600), [{kind: 'endpoint-missing', endpoint: lost, keptForMs: 1401}]);
+	t.deepEqual(state.assumeOutage(6700), []);
+	state.apply(createSnapshot({endpoints: [returning]}), 7000, 7001);
+	t.deepEqual([...state.endpoints.values()].map(({isLeaving}) => isLeaving), [false, false]);
+	// Another gap is another question.
+	t.deepEqual(state.apply(createSnapshot(), 12_000, 12_001), [{kind: 'endpoint-held', endpoint: returning}]);
+	t.deepEqual([...state.endpoints.values()].map(({isLeaving}) => isLeaving), [true, true]);
 });
 
 // Guards against an instance that vouches for records although it may have missed an outage.
@@ -119,5 +141,6 @@
 	const state = SiteState.create();
 	state.apply(createSnapshot({endpoints: [createEndpoint()]}), 0, 1);
 	t.true(state.confirm(createConfirmation({recordGraceMs: 1200}), 6000, 6001));
-	t.deepEqual(state.apply(createSnapshot(), 6500, 6501), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 700}]);
+	t.deepEqual(state.apply(createSnapshot(), 6500, 6501), [{kind: 'endpoint-held', endpoint: createEndpoint()}]);
+	t.deepEqual(state.assumeOutage(6501), [{kind: 'endpoint-missing', endpoint: createEndpoint(), keptForMs: 700}]);
 });
