--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -65,7 +65,7 @@
 		version: 2,
 		tenants: [{
 			// eslint-disable-next-line @typescript-eslint/naming-convention -- the platform's names
-			name: 'wick', api_keys: ['key-wick'], unit: 'tokens', plain_tokens: 10, rate_per_s: 1000, burst: 1000,
+			name: 'wick', api_keys: ['key-wick'], unit: 'tokens', plain_tokens: 10, rate_per_s: 10, burst: 10_000,
 		}],
 	}));
 	await site.addEndpoint({
@@ -74,12 +74,14 @@
 	let stepMs = 0;
 	const gateway = await site.addGateway({bounds: {...bounds, quotaSlackTokens: 0, quotaOverageRatio: 0}}, () => Date.now() + stepMs);
 	await delay(2500);
-	const headers = {'x-deadline-ms': '4000', 'x-token-count': '300,100'};
+	const headers = {'x-deadline-ms': '4000', 'x-token-count': '3,1'};
 	const running = call(gateway, {
 		path: '/streams/1', method: 'POST', body: 'x', headers,
 	});
 	await delay(200);
-	for (const step of [6000, 0, 6000]) {
+	// The time limit of a test refills 1,200 tokens at most, and this step would refill more than 12,000.
+	const forwardMs = 6_000_000;
+	for (const step of [forwardMs, 0, forwardMs]) {
 		stepMs = step;
 		// eslint-disable-next-line no-await-in-loop
 		await delay(120);
