--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -75,7 +75,7 @@
 		this.context.scheduler.submit(this.#waitingRequest);
 	}
 
-	/** Ends the request after its deadline, an attempt whose stream has stalled, and a request that has no state in which it would be answered. Called periodically. */
+	/** Ends the request after its deadline, an attempt whose stream has stalled, and a request that has no state in which it would be answered. Records that an endpoint has survived the request. Called periodically. */
 	enforceTimeouts(now: Milliseconds): void {
 		if (!this.#isEnded) {
 			this.#repairState();
@@ -94,6 +94,8 @@
 			return;
 		}
 
+		// Only here: data and breaks that a busy process reads late say nothing about the time between them.
+		this.#recordSurvival(attempt, now);
 		if (now >= this.#deadlineAt + deadlineMarginMs) {
 			this.#attempt = undefined;
 			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled);
@@ -319,7 +321,6 @@
 			this.#firstResponseMs ??= now - this.request.arrivedAt;
 			this.#sendHead(attempt);
 			this.response.write(streamChunk.bytes);
-			this.#recordSurvival(attempt, now);
 		}
 	}
 
@@ -385,7 +386,6 @@
 			this.#possiblyRunBy.delete(attempt.endpointId);
 		}
 
-		this.#recordSurvival(attempt, now);
 		this.#recordShortResponse(attempt, now, outcome);
 		if (outcome === attemptOutcomes.completed) {
 			this.#finish(attempt);
