--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -260,7 +260,8 @@
 	Repeated calls wait for the same stop.
 	*/
 	async stop(): Promise<void> {
-		await this.#plannedStop.run();
+		const now = this.options.clock.now();
+		await this.#plannedStop.run({earliest: this.#lateTickDetector.earliestArrivalAt(now), latest: now});
 	}
 
 	async dispose(): Promise<void> {
--- a/src/gateway/late-tick-detector.ts
+++ b/src/gateway/late-tick-detector.ts
@@ -14,15 +14,32 @@
 	}
 
 	#lastTickAt: Milliseconds | undefined;
+	#previousTickAt: Milliseconds | undefined;
 	#wasLeftOut = false;
 
 	private constructor(private readonly intervalMs: Milliseconds) {}
 
 	/** Records a tick. Returns whether its check has to be left out. */
 	tick(now: Milliseconds): boolean {
-		const isLate = this.#lastTickAt !== undefined && now - this.#lastTickAt > this.intervalMs + toleratedDelayMs;
+		const isLate = this.#isDelayed(this.#lastTickAt, now);
+		this.#previousTickAt = this.#lastTickAt;
 		this.#lastTickAt = now;
 		this.#wasLeftOut = isLate && !this.#wasLeftOut;
 		return this.#wasLeftOut;
 	}
+
+	/** Returns the earliest time at which something that is read now may have arrived, because nothing was read while the process did not run. */
+	earliestArrivalAt(now: Milliseconds): Milliseconds {
+		if (this.#isDelayed(this.#lastTickAt, now)) {
+			return this.#lastTickAt!;
+		}
+
+		// What arrived before a late tick is read soon after it.
+		const isAfterLateTick = this.#isDelayed(this.#previousTickAt, this.#lastTickAt ?? now) && now - this.#lastTickAt! <= this.intervalMs;
+		return isAfterLateTick ? this.#previousTickAt! : now;
+	}
+
+	#isDelayed(tickAt: Milliseconds | undefined, nextAt: Milliseconds): boolean {
+		return tickAt !== undefined && nextAt - tickAt > this.intervalMs + toleratedDelayMs;
+	}
 }
--- a/src/gateway/stopping/planned-stop.ts
+++ b/src/gateway/stopping/planned-stop.ts
@@ -2,7 +2,7 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {CallerServer} from '../callers/caller-server.js';
 import type {EventLog} from '../observability/event-log.js';
-import {createStopSchedule, type StopSchedule} from './stop-schedule.js';
+import {createStopSchedule, type StopRequestTime, type StopSchedule} from './stop-schedule.js';
 
 /** Interval at which the conditions for the end of a stage are checked. */
 const checkIntervalMs: Milliseconds = 50;
@@ -48,24 +48,23 @@
 	}
 
 	/** Resolves when the process can exit. Repeated calls wait for the same stop. */
-	async run(): Promise<void> {
-		this.#finished ??= this.#run();
+	async run(requested: StopRequestTime): Promise<void> {
+		this.#finished ??= this.#run(requested);
 		await this.#finished;
 	}
 
-	async #run(): Promise<void> {
+	async #run(requested: StopRequestTime): Promise<void> {
 		const {clock, log, graceMs, callerServer, countRequests, endRequests} = this.options;
-		const requestedAt = clock.now();
-		const afterMs = () => Math.round(clock.now() - requestedAt);
-		const schedule = createStopSchedule(requestedAt, graceMs);
+		const afterMs = () => Math.round(clock.now() - requested.latest);
+		const schedule = createStopSchedule(requested, graceMs);
 		this.#schedule = schedule;
-		log.event('stopping', {openRequests: callerServer.openRequests, running: countRequests()});
+		log.event('stopping', {openRequests: callerServer.openRequests, running: countRequests(), readLateMs: Math.round(requested.latest - requested.earliest)});
 		callerServer.beginStop();
 		// A caller whose idle connection is closed reconnects to another instance; a later request on the connection would have to be refused.
 		setTimeout(() => {
 			void callerServer.closeIdleConnections();
-		}, schedule.acceptUntil - requestedAt).unref();
-		await this.#waitUntil(() => clock.now() >= schedule.endRequestsAt || (!this.acceptsRequests && callerServer.openRequests === 0));
+		}, Math.max(0, schedule.acceptUntil - clock.now())).unref();
+		await this.#waitUntil(() => clock.now() >= schedule.endRequestsAt || (clock.now() > schedule.listenUntil && callerServer.openRequests === 0));
 		if (countRequests() > 0) {
 			log.event('ending-requests', {openRequests: callerServer.openRequests, running: countRequests(), afterMs: afterMs()});
 			endRequests();
--- a/test/gateway/late-tick-detector.test.ts
+++ b/test/gateway/late-tick-detector.test.ts
@@ -12,3 +12,17 @@
 	const detector = LateTickDetector.create(50);
 	t.deepEqual([0, 300, 600, 900, 1200, 1250].map(now => detector.tick(now)), [false, true, false, true, false, false]);
 });
+
+// Guards against a stop whose stages count from when a busy process read the signal.
+test('what is read after a suspension may have arrived since the last tick before it, also when a late tick comes first', t => {
+	const detector = LateTickDetector.create(50);
+	t.is(detector.earliestArrivalAt(10), 10);
+	detector.tick(100);
+	t.is(detector.earliestArrivalAt(150), 150);
+	t.is(detector.earliestArrivalAt(2000), 100);
+	detector.tick(2000);
+	t.is(detector.earliestArrivalAt(2010), 100);
+	t.is(detector.earliestArrivalAt(2060), 2060);
+	detector.tick(2050);
+	t.is(detector.earliestArrivalAt(2055), 2055);
+});
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -40,10 +40,10 @@
 	status: 503, isComplete: true, retryAfter: '0.000', failure: 'stopping',
 };
 
-async function startSite(t: ExecutionContext): Promise<{site: GatewaySite; gateway: Gateway}> {
+async function startSite(t: ExecutionContext, graceMs = stopGraceMs): Promise<{site: GatewaySite; gateway: Gateway}> {
 	const site = await GatewaySite.start();
 	t.teardown(async () => site.dispose());
-	return {site, gateway: await site.addGateway({bounds: {...bounds, stopGraceMs}})};
+	return {site, gateway: await site.addGateway({bounds: {...bounds, stopGraceMs: graceMs}})};
 }
 
 /** Sends requests on connections that stay open, with a deadline after the end of the grace period. */
@@ -111,6 +111,19 @@
 	await exited;
 });
 
+// Serial, because it blocks the thread of all tests of this file. The kill comes at its time even if a busy process has read the signal late.
+test.serial('a process that was busy when it was asked to stop answers its requests before the kill', async t => {
+	const graceMs = 8000;
+	const {site, gateway} = await startSite(t, graceMs);
+	const {running} = await addBusyEndpoint(site, gateway, createCaller(t, gateway));
+	const signalledAt = performance.now();
+	blockThread(900);
+	const exited = stopAndExit(gateway);
+	t.like(await running, {status: 504, isComplete: true, failure: 'endedByStop'});
+	await exited;
+	t.true(performance.now() - signalledAt < graceMs);
+});
+
 test('a request that waits when the grace period ends is refused as not run before the process ends', async t => {
 	const {site, gateway} = await startSite(t);
 	const send = createCaller(t, gateway);
