--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -196,6 +196,7 @@
 			promptTokens: metadata.tokens?.prompt ?? 0,
 			expectedOutputTokens: metadata.expectedOutputTokens,
 			excluded: this.#excluded,
+			hasBegun: () => this.#isHeadSent,
 			dispatch: (endpointId, inFlight) => {
 				this.#dispatch(endpointId, inFlight);
 			},
@@ -373,6 +374,7 @@
 
 		// The slot is released last, so that this request can be retried before another request takes the slot.
 		this.context.scheduler.recordOutcome(attempt.endpointId, outcome, {
+			durationMs: attempt.isContinuation ? undefined : this.context.clock.now() - attempt.sentAt,
 			eventIntervalMs: attempt.eventIntervalMs,
 			events: attempt.isContinuation ? undefined : attempt.eventCount,
 			expectedOutputTokens: this.request.metadata.expectedOutputTokens,
@@ -427,7 +429,7 @@
 
 	#retryOrFail(attempt: Attempt, outcome: AttemptOutcome, end: ExchangeEnd, now: Milliseconds): void {
 		const isNotRun = outcome === attemptOutcomes.rejected;
-		if (isUnsent(end) || (isNotRun && this.context.scheduler.isClosed)) {
+		if (isUnsent(end) || (isNotRun && !this.context.scheduler.accepts(this.#waitingRequest))) {
 			// No endpoint received the request, or none will, so this uses no retry budget.
 			this.#resubmit();
 			return;
@@ -467,7 +469,7 @@
 	/** Whether a request that may have run can be sent to another endpoint. */
 	#mayRetry(attempt: Attempt, now: Milliseconds): boolean {
 		const {route} = this.request;
-		return this.#isRetryable() && !this.context.scheduler.isClosed && this.#possiblyRunBy.size < route.maximumEndpoints && now < this.#deadlineAt
+		return this.#isRetryable() && this.context.scheduler.accepts(this.#waitingRequest) && this.#possiblyRunBy.size < route.maximumEndpoints && now < this.#deadlineAt
 			&& (!this.#isHeadSent || (attempt.isResumable && this.#lastEventId !== undefined));
 	}
 
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -377,7 +377,7 @@
 	/** @param arrivedAt arrival of the request on the clock of the site state */
 	#maySend(arrivedAt: Milliseconds, endpoint: EndpointRecord): boolean {
 		const availabilityZone = this.#site.endpoints.get(endpoint.id)?.availabilityZone;
-		return this.#plannedStop.allowsDispatch
+		return this.#plannedStop.allowsDispatch(0)
 			&& this.#isServing(endpoint) && this.options.clock.now() >= this.#restrictions.retryAt(endpoint) && availabilityZone !== undefined && !this.#site.evacuatedZones.has(availabilityZone)
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
@@ -434,7 +434,7 @@
 			members: () => this.#peers.members(),
 			memberCount: () => this.#peers.memberCount,
 			knowsMembers: () => this.#peers.knowsMembers(clock.now()),
-			mayDispatch: () => this.#plannedStop.allowsDispatch,
+			mayDispatch: expectedRunMs => this.#plannedStop.allowsDispatch(expectedRunMs),
 			random: Math.random,
 		});
 	}
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -7,6 +7,7 @@
 	canFinish, selectByCapacity, selectEndpoint, type Candidate, type PlacementRequest,
 } from './placement.js';
 import {lateRank, DispatchRate} from './dispatch-rate.js';
+import {RunDurationEstimator} from './run-duration-estimator.js';
 import {
 	refusalReasons, type EndpointRestrictions, type RefusalReason, type WaitingRequest,
 } from './types.js';
@@ -50,14 +51,16 @@
 	readonly memberCount: () => number;
 	/** Whether this process has listened for peers long enough to know its own limit at a cold endpoint. */
 	readonly knowsMembers: () => boolean;
-	/** Whether requests may be dispatched. Once they may not, they never may again. */
-	readonly mayDispatch: () => boolean;
+	/** Whether this process goes on for long enough to dispatch a request that is expected to run for this time. */
+	readonly mayDispatch: (expectedRunMs: Milliseconds) => boolean;
 	/** Returns a random number from 0 to below 1. */
 	readonly random: () => number;
 };
 
-/** Measurements of a stream that has ended. */
-export type StreamMeasurements = {
+/** Measurements of a run that has ended. */
+export type RunMeasurements = {
+	/** Time from its dispatch, unless it continued a stream. */
+	readonly durationMs?: Milliseconds;
 	/** Average time between its events, if it had enough of them. */
 	readonly eventIntervalMs?: Milliseconds;
 	/** Events of the whole stream. */
@@ -74,6 +77,7 @@
 	readonly #queue = WaitingQueue.create();
 	readonly #dispatchRate = DispatchRate.create();
 	readonly #eventCountEstimator = EventCountEstimator.create();
+	readonly #runDurationEstimator = RunDurationEstimator.create();
 	readonly #loads = new Map<string, EndpointLoad>();
 	/** Endpoints that were removed while requests of this instance were in flight there. */
 	readonly #removedLoads = new Map<string, EndpointLoad>();
@@ -88,15 +92,15 @@
 		return this.#queue.size;
 	}
 
-	/** Whether each request that is submitted is refused, because the process stops. */
-	get isClosed(): boolean {
-		return !this.options.mayDispatch();
-	}
-
 	get loads(): ReadonlyMap<string, EndpointLoad> {
 		return this.#loads;
 	}
 
+	/** Whether a request can be dispatched before the process ends. Of a stream that has begun, the rest may be short. */
+	accepts(request: WaitingRequest): boolean {
+		return this.options.mayDispatch(request.hasBegun() ? 0 : this.#runDurationEstimator.expectedMs);
+	}
+
 	setService(service: Service): void {
 		this.#service = service;
 	}
@@ -150,8 +154,12 @@
 	}
 
 	/** Records the end of a request at an endpoint and dispatches waiting requests to the free slot. */
-	recordOutcome(endpointId: string, outcome: AttemptOutcome, {eventIntervalMs, events, expectedOutputTokens}: StreamMeasurements = {}): void {
+	recordOutcome(endpointId: string, outcome: AttemptOutcome, {durationMs, eventIntervalMs, events, expectedOutputTokens}: RunMeasurements = {}): void {
 		const now = this.options.clock.now();
+		if (outcome === attemptOutcomes.completed && durationMs !== undefined) {
+			this.#runDurationEstimator.recordRun(durationMs);
+		}
+
 		if (outcome === attemptOutcomes.completed && events !== undefined && expectedOutputTokens !== undefined) {
 			this.#eventCountEstimator.recordStream(expectedOutputTokens, events);
 		}
@@ -168,11 +176,10 @@
 		this.dispatchWaiting();
 	}
 
-	/** Dispatches waiting requests as long as there are free slots. Refuses them when nothing may be dispatched any more. */
+	/** Dispatches waiting requests as long as there are free slots. Refuses those that the process can't dispatch before it ends. */
 	dispatchWaiting(): void {
-		if (this.isClosed) {
-			this.#refuseAll();
-		} else if (this.#queue.size > 0) {
+		if (this.#queue.size > 0) {
+			this.#refuseUnacceptable();
 			const now = this.options.clock.now();
 			this.#moveLate(now);
 			this.#dispatchInOrder(now);
@@ -181,10 +188,16 @@
 	}
 
 	/** Other instances dispatch to the same endpoints, so callers may return at once. */
-	#refuseAll(): void {
+	#refuseUnacceptable(): void {
+		if (this.options.mayDispatch(this.#runDurationEstimator.expectedMs)) {
+			return;
+		}
+
 		for (const request of this.#queue.inOrder()) {
-			this.#queue.remove(request);
-			this.#refuse(request, refusalReasons.stopping, 0);
+			if (!this.accepts(request)) {
+				this.#queue.remove(request);
+				this.#refuse(request, refusalReasons.stopping, 0);
+			}
 		}
 	}
 
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -41,6 +41,8 @@
 	readonly expectedOutputTokens?: number;
 	/** Endpoints that the request must not be dispatched to (again). */
 	readonly excluded: ReadonlySet<string>;
+	/** Whether the caller has received a part of the response. */
+	readonly hasBegun: () => boolean;
 	/** @param inFlight known requests of all instances in flight at the endpoint, without this one */
 	readonly dispatch: (endpointId: string, inFlight: number) => void;
 	readonly refuse: (refusal: Refusal) => void;
--- a/src/gateway/stopping/planned-stop.ts
+++ b/src/gateway/stopping/planned-stop.ts
@@ -43,8 +43,14 @@
 		return this.#schedule === undefined || this.options.clock.now() <= this.#schedule.acceptUntil;
 	}
 
-	get allowsDispatch(): boolean {
-		return this.#schedule === undefined || this.options.clock.now() <= this.#schedule.dispatchUntil;
+	/** Whether a request that is expected to run for this time may be sent to an endpoint now. */
+	allowsDispatch(expectedRunMs: Milliseconds): boolean {
+		if (this.#schedule === undefined) {
+			return true;
+		}
+
+		const now = this.options.clock.now();
+		return now <= this.#schedule.dispatchUntil && now + expectedRunMs <= this.#schedule.endRequestsAt;
 	}
 
 	/** Resolves when the process can exit. Repeated calls wait for the same stop. */
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -154,6 +154,19 @@
 	await exited;
 });
 
+test('a request that would be cut by the end of the grace period, as runs of its service take longer, is refused at once and not run', async t => {
+	const {site, gateway} = await startSite(t);
+	const endpoint = await site.addEndpoint({id: 'e0', isEngine: false, serviceTimeMs: 3500});
+	await until(() => gateway.memoryLog.linesOf('endpoint-added').length === 1);
+	const send = createCaller(t, gateway);
+	t.like(await send(booking), {status: 200});
+	const exited = stopAndExit(gateway);
+	await delay(2400);
+	t.deepEqual(await send(booking), refused);
+	await exited;
+	t.is(endpoint.receivedRequests.length, 1);
+});
+
 test('a stream that has begun is broken off at the end of the grace period and not framed as whole', async t => {
 	const {site, gateway} = await startSite(t);
 	await site.addEndpoint({
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -15,7 +15,7 @@
 	readonly members?: readonly string[];
 	readonly knowsMembers?: boolean;
 	readonly restrictions?: Partial<EndpointRestrictions>;
-	readonly mayDispatch?: () => boolean;
+	readonly mayDispatch?: (expectedRunMs: number) => boolean;
 };
 
 function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions, mayDispatch = () => true}: Options = {}) {
@@ -31,7 +31,7 @@
 		members: () => members,
 		memberCount: () => members.length,
 		knowsMembers: () => knowsMembers,
-		mayDispatch: () => mayDispatch(),
+		mayDispatch,
 		random: () => 0.5,
 	});
 	scheduler.setEndpoints(records, new Set());
@@ -385,3 +385,18 @@
 
 	t.is(scheduler.waiting, 0);
 });
+
+// Guards against a run that the end of the process cuts although runs of its service are known to take longer.
+test('a request is refused when the process ends sooner than its run is expected to, but the rest of a stream that has begun is dispatched', t => {
+	let remainingMs = Infinity;
+	const {clock, scheduler} = createScheduler({mayDispatch: expectedRunMs => expectedRunMs <= remainingMs});
+	const first = request(clock);
+	scheduler.submit(first);
+	scheduler.recordOutcome('engine-1', 'completed', {durationMs: 3000});
+	remainingMs = 2000;
+	const [later, begun] = [request(clock), request(clock, {hasBegun: () => true})];
+	scheduler.submit(later);
+	scheduler.submit(begun);
+	t.like(later.refusals, [{reason: 'stopping', retryAfterMs: 0}]);
+	t.deepEqual(begun.dispatchedTo, ['engine-1']);
+});
