--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -72,7 +72,11 @@
 
 	start(): void {
 		this.context.retryBudgets.recordRequest(this.request.service, this.request.arrivedAt);
-		this.context.scheduler.submit(this.#waitingRequest);
+		try {
+			this.context.scheduler.submit(this.#waitingRequest);
+		} catch (error) {
+			this.#failUnexpectedly(error);
+		}
 	}
 
 	/** Ends the request after its deadline, an attempt whose stream has stalled, and a request that has no state in which it would be answered. Records that an endpoint has survived the request. Called periodically. */
@@ -367,9 +371,7 @@
 			this.#handleAttemptEnd(attempt, outcome, end);
 		} catch (error) {
 			// The HTTP client would drop the error, and nothing else ends the request.
-			this.context.log.event('request-error', {requestId: this.requestId, reason: describeError(error)});
-			this.context.scheduler.withdraw(this.#waitingRequest);
-			this.#fail({type: 'internalError'});
+			this.#failUnexpectedly(error);
 		}
 
 		// The slot is released last, so that this request can be retried before another request takes the slot.
@@ -490,6 +492,12 @@
 		this.#fail(this.#possiblyRunBy.size === 0 ? {type: failureTypes[reason], retryAfterMs} : {type: 'endpointFailed'});
 	}
 
+	#failUnexpectedly(error: unknown): void {
+		this.context.log.event('request-error', {requestId: this.requestId, reason: describeError(error)});
+		this.#abandon(toError(error));
+		this.#fail({type: 'internalError'});
+	}
+
 	#fail(failure: GatewayFailure): void {
 		if (this.#isEnded) {
 			return;
--- a/test/gateway/unexpected-request-errors.test.ts
+++ b/test/gateway/unexpected-request-errors.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {EndpointConnectionPools} from '../../src/gateway/forwarding/endpoint-connection-pools.js';
 import {ForwardTask} from '../../src/gateway/forwarding/forward-task.js';
+import {ServiceScheduler} from '../../src/gateway/scheduling/service-scheduler.js';
 import {call} from '../fixtures/gateway/caller.js';
 import {GatewaySite} from '../fixtures/gateway/gateway-site.js';
 import {until} from '../fixtures/until.js';
@@ -66,3 +67,28 @@
 	abortController.abort();
 	await t.throwsAsync(odd);
 });
+
+// Guards against a request that is dispatched after its caller has got an answer, and against one that is never taken off the open ones.
+test.serial('an unexpected error while a request is queued ends it, and it is not dispatched later', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const endpoint = await site.addEndpoint({id: 'e0', isEngine: false, serviceTimeMs: 500}, {slots: 1});
+	const gateway = await site.addGateway();
+	const booking = {path: '/bookings/1', method: 'POST', body: 'x'};
+	const running = call(gateway, booking);
+	await until(() => endpoint.receivedRequests.length === 1);
+	const {submit} = ServiceScheduler.prototype;
+	ServiceScheduler.prototype.submit = function (request) {
+		submit.call(this, request);
+		throw new TypeError('no such queue');
+	};
+
+	const failed = await call(gateway, booking).finally(() => {
+		ServiceScheduler.prototype.submit = submit;
+	});
+	t.is(failed.status, 500);
+	t.like(await running, {status: 200});
+	t.like(await call(gateway, booking), {status: 200});
+	t.is(endpoint.receivedRequests.length, 2);
+	t.is(gateway.memoryLog.linesOf('request-ended').length, 3);
+});
