Let callers read the last response before their connection ends

What callers saw: - A refusal (413, 431, 400) of a request that was still being sent was lost in a reset, because the connection was closed with its rest unread. A 408 has the same way out. - Bytes that are not HTTP, sent behind a request, put a 400 into the middle of its response: a 200 with a length of 4 got the body `doHT`, framed as whole. - Requests that were read behind one whose response closed the connection were passed on and never answered (a planned stop with pipelined requests). - Pipelined requests whose caller had gone were never ended: their disconnect was not noticed, and they kept a stop from ending early.

Cause: `node:http` destroys the connection after its last response, writes a refusal of bytes at once, and closes only responses that have a connection.

Change: after its last response a connection is ended, and what arrives is read for up to 1 s, until the caller closes. A refusal of bytes comes after the open responses; one of a body that is not HTTP is the response to its request. Only the last request that was read on a connection announces its end in a planned stop; one that follows is not passed on. Requests end with their connection.

--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -9,16 +9,24 @@
 /** Time that an idle connection stays open beyond the announced timeout, for requests that are under way. */
 const idleMarginMs: Milliseconds = 1000;
 
+/** Time after its start in which the first request on a connection is awaited even though idle connections are closed. */
+const firstRequestMs: Milliseconds = 1000;
+
 /** Length of an empty line, which callers may send before a request. */
 const emptyLineBytes = 2;
 
 /** Time that the caller is given to close a connection whose last response has been sent. */
 const closeTimeoutMs: Milliseconds = 1000;
 
+type OpenRequest = {
+	readonly response: ServerResponse;
+	readonly onEnd: () => void;
+};
+
 type Connection = {
 	readonly socket: Socket;
-	/** Requests whose responses have not been handed to the operating system completely. */
-	openRequests: number;
+	/** Requests whose responses have not been handed to the operating system completely, in order. */
+	readonly requests: Set<OpenRequest>;
 	/** Bytes that had been received at the end of the last request. */
 	requestBytes: number;
 	/** Idle timeout that the last response announced. */
@@ -26,8 +34,10 @@
 	idleSince: Milliseconds;
 	/** When the head of the next request was first seen to arrive. */
 	headSince: Milliseconds | undefined;
-	/** Whether the last response has been written. */
+	/** Whether no further request is accepted. */
 	isEnding: boolean;
+	/** What is written after the responses to the open requests. */
+	lastBytes: string;
 };
 
 export type CallerConnectionsOptions = {
@@ -61,56 +71,81 @@
 	}
 
 	add(socket: Socket): void {
-		this.#connections.set(socket, {
-			socket, openRequests: 0, requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headSince: undefined, isEnding: false,
-		});
+		const connection: Connection = {
+			socket, requests: new Set(), requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headSince: undefined, isEnding: false, lastBytes: '',
+		};
+		this.#connections.set(socket, connection);
+		// `node:http` calls it after the response that closes the connection.
+		socket.destroySoon = () => {
+			this.endAfterResponses(socket);
+		};
+
 		socket.once('close', () => {
 			this.#connections.delete(socket);
+			// The response to a request that waits for the one before it has no connection yet, so it does not close.
+			for (const request of connection.requests) {
+				this.#endRequest(connection, request);
+			}
 		});
 	}
 
-	/** Records a request whose head has been read. */
-	addRequest(message: IncomingMessage, response: ServerResponse): void {
+	/**
+	Records a request whose head has been read.
+
+	@param onEnd called once, when the response has been handed to the operating system or the connection has closed
+	@returns whether the request may be responded to; it may not when it follows a response that closes the connection
+	*/
+	addRequest(message: IncomingMessage, response: ServerResponse, onEnd: () => void): boolean {
 		const {socket} = message;
 		const connection = this.#connections.get(socket);
-		if (connection === undefined) {
-			return;
+		if (connection === undefined || connection.isEnding || [...connection.requests].some(request => request.response.getHeader('connection') === 'close')) {
+			return false;
 		}
 
-		connection.openRequests++;
+		const request: OpenRequest = {response, onEnd};
+		connection.requests.add(request);
 		connection.headSince = undefined;
 		connection.announcedTimeoutMs = this.options.limits().idleTimeoutMs;
 		message.on('end', () => {
 			connection.requestBytes = socket.bytesRead;
 		});
 		response.on('close', () => {
-			connection.openRequests--;
-			connection.idleSince = this.options.clock.now();
+			this.#endRequest(connection, request);
 		});
+		return true;
 	}
 
-	/** Writes the last bytes and waits a while for the caller to close. What still arrives is read, because a reset would destroy what the caller has not read. */
-	end(socket: Socket, lastBytes = ''): void {
+	/** Whether no other request has been read on the connection since. */
+	isLastRequest(response: ServerResponse): boolean {
+		const requests = response.socket === null ? undefined : this.#connections.get(response.socket)?.requests;
+		return requests === undefined || [...requests].at(-1)?.response === response;
+	}
+
+	/** Whether no further request is accepted on the connection. */
+	isEnding(socket: Socket): boolean {
+		return this.#connections.get(socket)?.isEnding ?? true;
+	}
+
+	/** Writes the last bytes after the responses to the open requests, and closes the connection. */
+	endAfterResponses(socket: Socket, lastBytes = ''): void {
 		const connection = this.#connections.get(socket);
-		if (connection !== undefined) {
-			connection.isEnding = true;
+		if (connection === undefined || connection.isEnding) {
+			return;
 		}
 
-		socket.end(lastBytes, () => {
-			const timer = setTimeout(() => {
-				socket.destroy();
-			}, closeTimeoutMs);
-			timer.unref();
-			socket.once('close', () => {
-				clearTimeout(timer);
-			});
-		});
+		connection.isEnding = true;
+		connection.lastBytes = lastBytes;
+		if (connection.requests.size === 0) {
+			this.#end(connection);
+		}
 	}
 
-	/** Closes connections without a request, those that never had one included. */
+	/** Closes connections without a request, except those on which the first one may be under way. */
 	closeIdle(): void {
+		const now = this.options.clock.now();
 		for (const connection of this.#connections.values()) {
-			if (connection.openRequests === 0 && !hasPartialHead(connection)) {
+			const isNew = connection.requestBytes === 0 && now - connection.idleSince < firstRequestMs;
+			if (connection.requests.size === 0 && !hasPartialHead(connection) && !isNew) {
 				connection.socket.destroy();
 			}
 		}
@@ -120,11 +155,36 @@
 		clearInterval(this.#interval);
 	}
 
+	#endRequest(connection: Connection, request: OpenRequest): void {
+		if (!connection.requests.delete(request)) {
+			return;
+		}
+
+		connection.idleSince = this.options.clock.now();
+		request.onEnd();
+		if (connection.isEnding && connection.requests.size === 0) {
+			this.#end(connection);
+		}
+	}
+
+	/** Ends the connection and waits a while for the caller to close it. What still arrives is read, because a reset would destroy what the caller has not read. */
+	#end({socket, lastBytes}: Connection): void {
+		socket.end(lastBytes, () => {
+			const timer = setTimeout(() => {
+				socket.destroy();
+			}, closeTimeoutMs);
+			timer.unref();
+			socket.once('close', () => {
+				clearTimeout(timer);
+			});
+		});
+	}
+
 	#check(): void {
 		const now = this.options.clock.now();
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.limits();
 		for (const connection of this.#connections.values()) {
-			if (connection.openRequests > 0) {
+			if (connection.requests.size > 0) {
 				continue;
 			}
 
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -40,6 +40,8 @@
 	return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
 }
 
+type ReadingFailure = 'bodyTooLarge' | 'headersTooLarge' | 'bodyTimeout' | 'malformedRequest';
+
 /** A request that has been received completely. */
 export type ReceivedRequest = {
 	readonly message: IncomingMessage;
@@ -68,6 +70,8 @@
 	#limits = defaultLimits;
 	#isStopping = false;
 	#openRequests = 0;
+	/** The last request on each connection. */
+	readonly #lastRequests = new WeakMap<Socket, {readonly message: IncomingMessage; readonly fail: (type: ReadingFailure) => void}>();
 
 	private constructor(private readonly options: CallerServerOptions) {
 		this.#server = createServer({
@@ -82,7 +86,7 @@
 			limits: () => this.#limits,
 			onHeaderTimeout: socket => {
 				options.log.event('caller-connection-failed', {reason: 'header timeout'});
-				this.#connections.end(socket, responseWithoutBody('408 Request Timeout'));
+				this.#connections.endAfterResponses(socket, responseWithoutBody('408 Request Timeout'));
 			},
 		});
 		// Also called by the server's `close`.
@@ -106,12 +110,7 @@
 			response.end();
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			options.log.event('caller-connection-failed', {reason: error.code ?? error.message});
-			if (socket.writable && error.code !== 'ECONNRESET') {
-				this.#connections.end(socket, responseWithoutBody(error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'));
-			} else {
-				socket.destroy();
-			}
+			this.#handleConnectionError(error, socket);
 		});
 		this.setLimits(defaultLimits);
 	}
@@ -162,38 +161,68 @@
 		this.#server.closeAllConnections();
 	}
 
+	#handleConnectionError({code, message}: NodeJS.ErrnoException, socket: Socket): void {
+		if (code === 'HPE_INVALID_EOF_STATE') {
+			// The caller has left in the middle of a request.
+			socket.end();
+			return;
+		}
+
+		if (code === 'ECONNRESET' || !this.#connections.isEnding(socket)) {
+			this.options.log.event('caller-connection-failed', {reason: code ?? message});
+		}
+
+		const lastRequest = this.#lastRequests.get(socket);
+		if (code === 'ECONNRESET') {
+			socket.destroy();
+		} else if (lastRequest === undefined || lastRequest.message.complete) {
+			this.#connections.endAfterResponses(socket, responseWithoutBody(code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'));
+		} else {
+			lastRequest.fail('malformedRequest');
+		}
+	}
+
 	#handle(message: IncomingMessage, response: ServerResponse): void {
+		const {socket} = message;
+		let onDisconnect: (() => void) | undefined;
+		const isAccepted = this.#connections.addRequest(message, response, () => {
+			clearTimeout(bodyTimer);
+			this.#openRequests--;
+			if (!response.writableFinished) {
+				onDisconnect?.();
+			}
+		});
+		if (!isAccepted) {
+			this.options.log.event('caller-connection-failed', {reason: 'request after the last response'});
+			message.resume();
+			return;
+		}
+
 		this.#openRequests++;
-		this.#connections.addRequest(message, response);
 		const arrivedAt = this.options.clock.now();
-		const callerResponse = HttpResponse.create(response, () => this.#isStopping);
+		const callerResponse = HttpResponse.create(response, () => this.#isStopping && this.#connections.isLastRequest(response));
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		let hasFailed = false;
-		const fail = (type: 'bodyTooLarge' | 'headersTooLarge' | 'bodyTimeout') => {
-			hasFailed = true;
-			response.setHeader('connection', 'close');
-			callerResponse.fail({type});
+		const fail = (type: ReadingFailure) => {
+			if (!hasFailed) {
+				hasFailed = true;
+				response.setHeader('connection', 'close');
+				callerResponse.fail({type});
+			}
 		};
 
+		this.#lastRequests.set(socket, {message, fail});
 		// Restarted by each chunk, as a slow link needs time in proportion to the length of the body.
 		const bodyTimer = setTimeout(() => {
 			const bytesBefore = bytes;
 			// What has arrived is read before the body is judged by its absence.
 			setImmediate(() => {
-				if (bytes === bytesBefore && !message.complete && !hasFailed) {
+				if (bytes === bytesBefore && !message.complete) {
 					fail('bodyTimeout');
 				}
 			});
 		}, this.#limits.idleTimeoutMs);
-		let onDisconnect: (() => void) | undefined;
-		response.on('close', () => {
-			clearTimeout(bodyTimer);
-			this.#openRequests--;
-			if (!response.writableFinished) {
-				onDisconnect?.();
-			}
-		});
 		response.on('error', error => {
 			this.options.log.event('caller-connection-failed', {reason: error.message});
 		});
@@ -202,7 +231,7 @@
 			bodyTimer.refresh();
 			if (bytes <= this.#limits.bodyBytes) {
 				chunks.push(chunk);
-			} else if (!hasFailed) {
+			} else {
 				fail('bodyTooLarge');
 			}
 		});
@@ -212,7 +241,7 @@
 
 		message.on('end', () => {
 			clearTimeout(bodyTimer);
-			if (hasFailed || response.destroyed) {
+			if (hasFailed || response.destroyed || socket.destroyed) {
 				return;
 			}
 
