--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -75,9 +75,10 @@
 			socket, requests: new Set(), requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headSince: undefined, isEnding: false, lastBytes: '',
 		};
 		this.#connections.set(socket, connection);
-		// `node:http` calls it after the response that closes the connection.
+		// `node:http` calls it after the response that closes the connection, and writes no later one.
 		socket.destroySoon = () => {
-			this.endAfterResponses(socket);
+			connection.isEnding = true;
+			this.#end(connection);
 		};
 
 		socket.once('close', () => {
@@ -117,8 +118,8 @@
 
 	/** Whether no other request has been read on the connection since. */
 	isLastRequest(response: ServerResponse): boolean {
-		const requests = response.socket === null ? undefined : this.#connections.get(response.socket)?.requests;
-		return requests === undefined || [...requests].at(-1)?.response === response;
+		const connection = this.#connections.get(response.req.socket);
+		return connection === undefined || [...connection.requests].at(-1)?.response === response;
 	}
 
 	/** Whether no further request is accepted on the connection. */
@@ -162,7 +163,7 @@
 
 		connection.idleSince = this.options.clock.now();
 		request.onEnd();
-		if (connection.isEnding && connection.requests.size === 0) {
+		if (connection.isEnding && connection.requests.size === 0 && !connection.socket.writableEnded) {
 			this.#end(connection);
 		}
 	}
--- a/test/gateway/callers/caller-closing.test.ts
+++ b/test/gateway/callers/caller-closing.test.ts
@@ -132,18 +132,36 @@
 		// The test responds.
 	});
 	const caller = await RawCaller.connect(fixture.address);
-	caller.write(request + request);
-	await until(() => fixture.requests.length === 2);
+	caller.write(request + request + request);
+	await until(() => fixture.requests.length === 3);
 	fixture.server.beginStop();
-	for (const received of fixture.requests) {
-		respond(received);
+	for (const index of [1, 0, 2]) {
+		respond(fixture.requests[index]!);
 	}
 
 	await caller.waitForEnd();
-	t.regex(caller.text, /^HTTP\/1\.1 200 .*done.*HTTP\/1\.1 200 .*done$/sv);
+	t.regex(caller.text, /^HTTP\/1\.1 200 .*done.*HTTP\/1\.1 200 .*done.*HTTP\/1\.1 200 .*done$/sv);
 	t.is(caller.text.match(/connection: close\r\n/giv)?.length, 1);
 });
 
+// Guards against connections that stay open for ever with requests that can no longer be answered.
+test('a response that ends with its connection ends the requests behind it, too', async t => {
+	const fixture = await startCallerServer(t, {}, () => {
+		// The test responds.
+	});
+	const caller = await RawCaller.connect(fixture.address);
+	caller.write(request + request);
+	await until(() => fixture.requests.length === 2);
+	const {response} = fixture.requests[0]!;
+	response.writeHead(200, {}, false);
+	response.end(Buffer.from('done'));
+	await caller.waitForEnd();
+	t.true(caller.text.endsWith('\r\n\r\ndone'));
+	caller.socket.destroy();
+	await until(() => fixture.server.openRequests === 0);
+	t.is(fixture.server.openRequests, 0);
+});
+
 test('a request behind a response that closes the connection is not passed on', async t => {
 	const fixture = await startCallerServer(t);
 	const caller = await RawCaller.connect(fixture.address);
