Read a request by the limits that were in force when its head arrived

What callers saw: a body that was arriving when a configuration lowered the limit of bodies was refused with 413, which is not retried. With an idle timeout of more than 24 days, a body that arrived in two parts was refused with 408, because the timer expired at once.

Before (`caller-timeouts`): 413 and 408. After: 200 both.

--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -32,8 +32,8 @@
 	/** Idle timeout that the last response announced. */
 	announcedTimeoutMs: Milliseconds;
 	idleSince: Milliseconds;
-	/** When the head of the next request was first seen to arrive. */
-	headSince: Milliseconds | undefined;
+	/** Time until which the head that is arriving must be complete. */
+	headDueAt: Milliseconds | undefined;
 	/** Whether no further request is accepted. */
 	isEnding: boolean;
 	/** What is written after the responses to the open requests. */
@@ -72,7 +72,7 @@
 
 	add(socket: Socket): void {
 		const connection: Connection = {
-			socket, requests: new Set(), requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headSince: undefined, isEnding: false, lastBytes: '',
+			socket, requests: new Set(), requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headDueAt: undefined, isEnding: false, lastBytes: '',
 		};
 		this.#connections.set(socket, connection);
 		// `node:http` calls it after the response that closes the connection, and writes no later one.
@@ -105,7 +105,7 @@
 
 		const request: OpenRequest = {response, onEnd};
 		connection.requests.add(request);
-		connection.headSince = undefined;
+		connection.headDueAt = undefined;
 		connection.announcedTimeoutMs = this.options.limits().idleTimeoutMs;
 		message.on('end', () => {
 			connection.requestBytes = socket.bytesRead;
@@ -190,8 +190,8 @@
 			}
 
 			if (hasPartialHead(connection)) {
-				connection.headSince ??= now;
-				if (!connection.isEnding && now - connection.headSince >= headerTimeoutMs) {
+				connection.headDueAt ??= now + headerTimeoutMs;
+				if (!connection.isEnding && now >= connection.headDueAt) {
 					this.options.onHeaderTimeout(connection.socket);
 				}
 			} else if (now - connection.idleSince >= Math.max(idleTimeoutMs, connection.announcedTimeoutMs) + idleMarginMs) {
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -20,6 +20,9 @@
 /** Header limit of the HTTP server, which can't be changed later and is therefore above any configured limit. */
 const maximumHeaderBytes = 65_536;
 
+/** Longest idle timeout. Timers of Node.js expire at once when their time is longer than some weeks. */
+const maximumIdleTimeoutMs: Milliseconds = 86_400_000;
+
 /** Connections that may wait to be accepted. After a start, many callers connect at once. */
 const backlog = 1024;
 
@@ -125,10 +128,11 @@
 		await listen(this.#server, {...this.options.address, backlog});
 	}
 
+	/** Sets the limits of requests whose heads arrive from now on, and of idle connections. */
 	setLimits(limits: CallerLimits): void {
-		this.#limits = limits;
+		this.#limits = {...limits, idleTimeoutMs: Math.min(limits.idleTimeoutMs, maximumIdleTimeoutMs)};
 		// Responses announce it; `CallerConnections` enforces it.
-		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+		this.#server.keepAliveTimeout = this.#limits.idleTimeoutMs;
 	}
 
 	/** From now on, each response closes its connection. */
@@ -200,6 +204,8 @@
 
 		this.#openRequests++;
 		const arrivedAt = this.options.clock.now();
+		// They stay the same while the request is read.
+		const limits = this.#limits;
 		const callerResponse = HttpResponse.create(response, () => this.#isStopping && this.#connections.isLastRequest(response));
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
@@ -222,20 +228,20 @@
 					fail('bodyTimeout');
 				}
 			});
-		}, this.#limits.idleTimeoutMs);
+		}, limits.idleTimeoutMs);
 		response.on('error', error => {
 			this.options.log.event('caller-connection-failed', {reason: error.message});
 		});
 		message.on('data', (chunk: Uint8Array) => {
 			bytes += chunk.byteLength;
 			bodyTimer.refresh();
-			if (bytes <= this.#limits.bodyBytes) {
+			if (bytes <= limits.bodyBytes) {
 				chunks.push(chunk);
 			} else {
 				fail('bodyTooLarge');
 			}
 		});
-		if (headerBytesOf(message) > this.#limits.headerBytes) {
+		if (headerBytesOf(message) > limits.headerBytes) {
 			fail('headersTooLarge');
 		}
 
--- a/test/gateway/callers/caller-timeouts.test.ts
+++ b/test/gateway/callers/caller-timeouts.test.ts
@@ -144,3 +144,27 @@
 	await caller.write('POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nabc');
 	t.regex(await sendWhileBusy(caller, 300, 1500, 'def'), /^HTTP\/1\.1 200 .*done$/sv);
 });
+
+// Guards against a body that is refused by a limit that is newer than the request.
+test.serial('limits that are lowered while a body arrives do not apply to it', async t => {
+	const {address, server} = await startCallerServer(t);
+	const caller = await RawCaller.connect(address);
+	caller.write('POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nabc');
+	await delay(100);
+	server.setLimits({
+		headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	});
+	await delay(1500);
+	caller.write('def');
+	t.regex(await caller.receiveResponses(1), /^HTTP\/1\.1 200 /v);
+});
+
+// Guards against a timer that expires at once because its time is too long.
+test.serial('a body that arrives in parts is accepted with an idle timeout of years', async t => {
+	const {address} = await startCallerServer(t, {idleTimeoutMs: 1e12});
+	const caller = await RawCaller.connect(address);
+	caller.write('POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nabc');
+	await delay(200);
+	caller.write('def');
+	t.regex(await caller.receiveResponses(1), /^HTTP\/1\.1 200 /v);
+});
