--- a/test/gateway/endpoint-statements.test.ts
+++ b/test/gateway/endpoint-statements.test.ts
@@ -86,7 +86,7 @@
 
 		await delay(contactMs + 8000);
 		const {host, internalPorts} = site.gateways[1]!.settings;
-		const response = await fetch(`http://${host}:${internalPorts.first + 1}/statements`);
+		const response = await fetch(`http://${host}:${internalPorts.first + 1}/statements`, {signal: AbortSignal.timeout(5000)});
 		const status = await response.json() as Array<{readonly endpoint: string; readonly limit: {readonly perSecond: number}}>;
 		t.deepEqual(status.map(({endpoint}) => endpoint).toSorted(), limited.map(({options: {id}}) => id));
 		t.true(status.every(({limit: {perSecond}}) => perSecond === limit));
