Split the site of the soak into endpoints, configuration and prompts

Endpoints, the configuration and the parts of prompts are components of their own now; nothing else changes, but for the grace of a stop, which is a bound of the checks.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -13,6 +13,7 @@
 	revocationMs: 5000,
 	/** Time after a statement of an endpoint from which the instance that passed it on is bound by it. */
 	tellMs: 500,
+	stopGraceMs: 8000,
 	/** A request around a planned stop may fail within this time after it was sent, if no endpoint received it. */
 	stopDropMs: 200,
 	/** Time after a caller's disconnect within which the endpoint has to stop working on its request. */
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,9 +7,8 @@
 import type {RandomSource} from '../standins/random-source.js';
 import type {FaultPeriod} from './history.js';
 import {bounds} from './checks.js';
-import {
-	availabilityZones, engineService, type Instance, type SoakSite,
-} from './site.js';
+import {availabilityZones, engineService} from './endpoints.js';
+import type {Instance, SoakSite} from './site.js';
 
 /** Endpoints of a service that must remain while one of them is drained or restarts. */
 const minimumRemainingEndpoints = 1;
@@ -102,7 +101,7 @@
 
 /** Endpoints whose service has others when they are removed. */
 function findRemovableEndpoints(site: SoakSite) {
-	return site.endpoints.filter(({service, isBusy}) => !isBusy && site.endpoints.filter(other => other.service === service && !other.isBusy).length > minimumRemainingEndpoints);
+	return site.endpoints.current.filter(({service, isBusy}) => !isBusy && site.endpoints.current.filter(other => other.service === service && !other.isBusy).length > minimumRemainingEndpoints);
 }
 
 /** Planned changes, during which every caller must still get its response. */
@@ -118,31 +117,31 @@
 		}
 	},
 	async moveLookups(site) {
-		site.moveLookups();
+		site.configuration.moveLookups();
 	},
 	async revokeKey(site) {
-		site.revokeKey();
+		site.configuration.revokeKey();
 	},
 	async configureTwice(site) {
-		site.publishConfiguration();
-		site.publishConfiguration();
+		site.configuration.publish();
+		site.configuration.publish();
 	},
 	async drain(site, random) {
 		const endpoint = random.pick(findRemovableEndpoints(site));
 		if (endpoint !== undefined) {
-			await site.drainEndpoint(endpoint);
+			await site.endpoints.drain(endpoint);
 		}
 	},
 	async nameLimit(site, random) {
 		const endpoint = random.pick(findRemovableEndpoints(site).filter(({standIn}) => !('server-limit' in standIn.statedHeaders)));
 		if (endpoint !== undefined) {
-			await site.limitEndpoint(endpoint, random.integer(0, 80) / 10, random.integer(6000, 12_000));
+			await site.endpoints.limit(endpoint, random.integer(0, 80) / 10, random.integer(6000, 12_000));
 		}
 	},
 	async leaveByStatement(site, random) {
 		const endpoint = random.pick(findRemovableEndpoints(site));
 		if (endpoint !== undefined) {
-			await site.leaveByStatement(endpoint, random.integer(2000, 6000));
+			await site.endpoints.leaveByStatement(endpoint, random.integer(2000, 6000));
 		}
 	},
 	async evacuate(site, random) {
@@ -181,7 +180,7 @@
 	async revocationUnread(site, random) {
 		const outage = applyStoreFault(site, [random.pick(site.instances)!], pickConnectionFault(random, delayRanges.store), bounds.revocationMs + 4000);
 		await delay(500);
-		site.revokeKey();
+		site.configuration.revokeKey();
 		await outage;
 	},
 	/** An instance that could not read the store while an endpoint left must not use it later; the endpoint still serves then. */
@@ -190,35 +189,35 @@
 		if (endpoint !== undefined) {
 			const outage = applyStoreFault(site, [random.pick(site.instances)!], pickConnectionFault(random, delayRanges.store), drainUnreadMs);
 			await delay(500);
-			await Promise.all([site.drainEndpoint(endpoint, drainUnreadMs + bounds.contactLossMs), outage]);
+			await Promise.all([site.endpoints.drain(endpoint, drainUnreadMs + bounds.contactLossMs), outage]);
 		}
 	},
 	/** All lookups fail, so that each of them could be retried. */
 	async failingLookups(site) {
 		await recordFaultPeriod(site, {kind: 'endpoint-answers'}, async () => {
-			for (const {standIn} of site.endpoints.filter(({service}) => service !== engineService)) {
+			for (const {standIn} of site.endpoints.current.filter(({service}) => service !== engineService)) {
 				standIn.faults.push(...Array.from({length: failingRequestCount}, () => endpointFaults.error));
 			}
 
 			await delay(failureDurationMs);
-			for (const {standIn} of site.endpoints) {
+			for (const {standIn} of site.endpoints.current) {
 				standIn.faults.length = 0;
 			}
 		});
 	},
 	async endpointConnections(site, random) {
-		const {id, proxy} = random.pick(site.endpoints)!;
+		const {id, proxy} = random.pick(site.endpoints.current)!;
 		const fault = pickConnectionFault(random, delayRanges.endpoint);
 		await recordFaultPeriod(site, {kind: 'endpoint-connections', endpoint: id}, async () => applyProxyFault(proxy, fault, random.integer(200, 2500)));
 	},
 	async resetEndpointConnections(site, random) {
 		await recordFaultPeriod(site, {kind: 'endpoint-resets'}, async () => {
-			random.pick(site.endpoints)!.proxy.resetConnections();
+			random.pick(site.endpoints.current)!.proxy.resetConnections();
 		});
 	},
 	async endpointAnswers(site, random) {
 		await recordFaultPeriod(site, {kind: 'endpoint-answers'}, async () => {
-			const {standIn, service} = random.pick(site.endpoints)!;
+			const {standIn, service} = random.pick(site.endpoints.current)!;
 			for (let count = 0; count < requestFaultCount; count++) {
 				standIn.faults.push(random.pick(service === engineService ? streamFaults : plainFaults)!);
 			}
@@ -230,7 +229,7 @@
 	},
 	/** An endpoint turns requests away and names a time after which it takes others. */
 	async askToWait(site, random) {
-		const {standIn} = random.pick(site.endpoints)!;
+		const {standIn} = random.pick(site.endpoints.current)!;
 		standIn.rejectionHeaders = {'retry-after': String(random.integer(5, 50) / 10)};
 		for (let count = 0; count < requestFaultCount; count++) {
 			standIn.faults.push(endpointFaults.reject);
@@ -243,14 +242,14 @@
 	},
 	/** Engines crash one after the other under requests with one part in their prompts. */
 	async crashingPart(site, random) {
-		const part = site.startCrashingPart();
+		const part = site.prompts.startCrashingPart();
 		await delay(random.integer(9000, 16_000));
-		site.endCrashingPart(part);
+		site.prompts.endCrashingPart(part);
 	},
 	async restartEndpoint(site, random) {
 		const endpoint = random.pick(findRemovableEndpoints(site));
 		if (endpoint !== undefined) {
-			await recordFaultPeriod(site, {kind: 'endpoint-restart'}, async () => site.restartEndpoint(endpoint, random.integer(0, 2000)));
+			await recordFaultPeriod(site, {kind: 'endpoint-restart'}, async () => site.endpoints.restart(endpoint, random.integer(0, 2000)));
 		}
 	},
 } as const satisfies Record<string, Fault>;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -86,9 +86,9 @@
 		await site.waitUntilReady();
 		const callerRuns = Array.from({length: callers}, async (_, index) => runCaller({
 			random: RandomSource.create(seed + index + 1),
-			nextPromptParts: () => site.nextPromptParts(promptRandom),
+			nextPromptParts: () => site.prompts.nextParts(promptRandom),
 			instances: site.instances.map(({host}) => host),
-			keys: () => site.callerKeys(),
+			keys: () => site.configuration.callerKeys(),
 			onRecord(record) {
 				requests.push(record);
 			},
@@ -98,10 +98,10 @@
 		await delay(recoveryMs);
 		callersAbortController.abort();
 		await Promise.all(callerRuns);
-		const finalRequests = await Promise.all(site.instances.map(async ({host}) => sendOneOfEachKind(host, site.callerKeys()[0]!)));
+		const finalRequests = await Promise.all(site.instances.map(async ({host}) => sendOneOfEachKind(host, site.configuration.callerKeys()[0]!)));
 		const violations = findViolations({
 			requests,
-			receivedRequests: site.receivedRequests(),
+			receivedRequests: site.endpoints.receivedRequests(),
 			events: site.events,
 			faultPeriods: site.faultPeriods,
 			exits: site.exits,
