--- a/src/entry/dispatch/engine.ts
+++ b/src/entry/dispatch/engine.ts
@@ -43,6 +43,7 @@
 			const result = await this.#completeOrResume(end);
 			// The engine may still be generating tokens for a request whose connection failed.
 			if (result.kind === 'failed' && result.symptom !== 'server-error') {
+				this.order.onSymptom(result.symptom);
 				await this.#cancelStream();
 			}
 
--- a/src/entry/dispatch/types.ts
+++ b/src/entry/dispatch/types.ts
@@ -21,6 +21,8 @@
 	readonly onFirstByte: () => void;
 	/** Called for each chunk of the response after the first, with the number of output tokens in it. */
 	readonly onTokens: (tokens: number) => void;
+	/** Called when the request has failed and is about to be cancelled, which may take long: what the failure says of the endpoint is then known already. */
+	readonly onSymptom: (symptom: EndpointSymptom) => void;
 	readonly sink: ResponseSink;
 	/** Aborts the dispatch; an engine stream is also cancelled at the engine. */
 	readonly signal: AbortSignal;
--- a/src/entry/scheduler/dispatching.ts
+++ b/src/entry/scheduler/dispatching.ts
@@ -25,6 +25,8 @@
 	firstByteAt: Milliseconds | undefined;
 	lastTokenAt: Milliseconds | undefined;
 	outputTokens: number;
+	/** Whether the symptom of its failure has been observed before its end. */
+	isSymptomObserved: boolean;
 };
 
 /** Tracks requests from their reservation to the end of their response. */
@@ -81,12 +83,22 @@
 			firstByteAt: undefined,
 			lastTokenAt: undefined,
 			outputTokens: 0,
+			isSymptomObserved: false,
 		};
 		this.#active.set(submission.requestId, active);
 		this.context.prefixIndex.recordDispatch(endpoint.name, submission.prefixBlocks);
 		void this.#dispatch(active);
 	}
 
+	/** Observes the symptom of a failure whose dispatch has not ended, because the request is being cancelled. */
+	handleSymptom(requestId: string, symptom: EndpointSymptom): void {
+		const active = this.#active.get(requestId);
+		if (active !== undefined) {
+			active.isSymptomObserved = true;
+			this.phaseReports.announceChanges(this.context.phases.observeSymptom(active.endpoint.name, symptom));
+		}
+	}
+
 	handleResult(requestId: string, result: DispatchResult): void {
 		const active = this.#active.get(requestId);
 		if (!active) {
@@ -96,7 +108,10 @@
 		this.#active.delete(requestId);
 		const {ledger, phases, peers, metrics} = this.context;
 		sendAll(peers, ledger.release(active.reservation.reservationId, {mayStillRun: mayStillRun(active, result)}));
-		this.phaseReports.announceChanges(phases.observeSymptom(active.endpoint.name, result.symptom));
+		if (!active.isSymptomObserved) {
+			this.phaseReports.announceChanges(phases.observeSymptom(active.endpoint.name, result.symptom));
+		}
+
 		this.phaseReports.announceUnitsAboveLimit(active.endpoint.name);
 		metrics.countDispatch(active.endpoint.name, result.kind);
 		this.#resultHandlers[result.kind](active, result as never);
@@ -146,6 +161,9 @@
 				onTokens: tokens => {
 					this.#onTokens(active, tokens);
 				},
+				onSymptom: symptom => {
+					this.context.mailbox.post({kind: 'endpoint-symptom', requestId, symptom});
+				},
 				sink: this.context.registry.createSink(requestId),
 				signal: active.abortController.signal,
 			});
--- a/src/entry/scheduler/scheduler-task.ts
+++ b/src/entry/scheduler/scheduler-task.ts
@@ -184,6 +184,9 @@
 				this.#context.directory.setLeaving(leavingEndpoints);
 				this.#scheduleAllAssignments();
 			},
+			'endpoint-symptom': ({requestId, symptom}) => {
+				this.#dispatching.handleSymptom(requestId, symptom);
+			},
 			'dispatch-ended': ({requestId, result}) => {
 				const service = this.#context.pending.get(requestId)?.submission.service;
 				this.#dispatching.handleResult(requestId, result);
--- a/test/entry/callers/request-path.test.ts
+++ b/test/entry/callers/request-path.test.ts
@@ -31,6 +31,7 @@
 			},
 			onFirstByte: () => undefined,
 			onTokens: () => undefined,
+			onSymptom: () => undefined,
 			sink,
 			signal: controller.signal,
 		}, connections);
--- a/test/entry/dispatch/engine.test.ts
+++ b/test/entry/dispatch/engine.test.ts
@@ -8,6 +8,7 @@
 import {FakeEndpoint, unusedAddress} from '../../fixtures/fake-endpoint.js';
 import {FakeEngine, formatEvents} from '../../fixtures/fake-engine.js';
 import {testSeed} from '../../fixtures/seed.js';
+import {until} from '../../fixtures/until.js';
 
 const connections = EndpointConnections.create();
 const tokens = ['{"t":"A"}', '{"t":"late"}', '{"t":"summary"}', '{"t":"é"}'];
@@ -103,6 +104,24 @@
 	await engine.close();
 });
 
+// Guards against an engine that has restarted and gets its full load for as long as a cancellation takes there.
+test('a lost stream shows the restart of its engine before its cancellation is answered', async t => {
+	const engine = await FakeEngine.start(tokens, [{cutAfterBytes: 30}, {status: 404}], {ignoresCancellations: true});
+	const order = streamOrder(engine.address);
+	let hasEnded = false;
+	const dispatched = (async () => {
+		const result = await dispatchToEngine(order, connections);
+		hasEnded = true;
+		return result;
+	})();
+	await until(() => engine.cancellations.length === 1);
+	t.false(hasEnded);
+	t.deepEqual(order.symptoms, ['reset']);
+	const {symptom} = await dispatched;
+	t.is(symptom, 'reset');
+	await engine.close();
+});
+
 test('the number of attempts to resume is limited', async t => {
 	const engine = await FakeEngine.start(tokens, [{cutAfterBytes: 30}, ...Array.from({length: 10}, () => ({status: 503}))]);
 	const order = streamOrder(engine.address);
--- a/test/entry/scheduler/cold-detection.test.ts
+++ b/test/entry/scheduler/cold-detection.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {createFailure} from '../../../src/shared/failure.js';
 import {endpointPhases, type EndpointPhase} from '../../../src/entry/limits/types.js';
 import {SteadyGroup, steadyEndpoint} from '../../fixtures/scheduler-group/steady-group.js';
 
@@ -84,6 +85,27 @@
 	t.is(await phaseAfterDelayedStream(await startWithKnownSpeed(), false), endpointPhases.cold);
 });
 
+// Guards against an engine that has restarted and gets its full load for as long as a cancellation takes there.
+test('a reset makes the engine cold at all entries before the request has been cancelled, and once', async t => {
+	const group = SteadyGroup.create();
+	await group.advance(1000);
+	group.announcePhase('warm', 1);
+	await group.advance(1000);
+	group.submit(group.slots[0]!);
+	await group.advance(100);
+	const [running] = group.running;
+	running!.order.onSymptom('reset');
+	await group.advance(100);
+	const phases = () => group.slots.map(slot => group.entry(slot).context.phases);
+	t.deepEqual(new Set(phases().map(entryPhases => entryPhases.phase(steadyEndpoint))), new Set([endpointPhases.cold]));
+	const epoch = phases()[0]!.epoch(steadyEndpoint);
+	await group.advance(1500);
+	running!.end({kind: 'failed', symptom: 'reset', failure: createFailure('answer-interrupted', 'test')});
+	await group.advance(100);
+	t.is(phases()[0]!.epoch(steadyEndpoint), epoch);
+	t.deepEqual(group.violations, []);
+});
+
 // Guards against a cold start that goes unnoticed while callers ask for documents only.
 test('a document that takes longer than a full batch explains makes the engine cold', async t => {
 	const group = await startWithKnownSpeed();
