--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -10,6 +10,9 @@
 /** Time that callers wait for a response. */
 const callerTimeoutMs: Milliseconds = 4000;
 
+/** Time that patient callers wait. */
+const patientTimeoutMs: Milliseconds = 12_000;
+
 /** Longest pause between two requests of a caller. */
 const maximumPauseMs: Milliseconds = 120;
 
@@ -47,15 +50,18 @@
 
 let nextId = 0;
 
+type RequestTarget = Pick<RequestRecord, 'kind' | 'instance' | 'key' | 'workspace' | 'promptParts'> & {readonly deadlineMs?: Milliseconds; readonly path?: string};
+
 /** Sends one request and resolves when its response has ended, complete or not. */
-async function sendRequestOfKind(agent: Agent, target: Pick<RequestRecord, 'kind' | 'instance' | 'key' | 'workspace' | 'promptParts'>, disconnectAfterMs?: Milliseconds): Promise<RequestRecord> {
+async function sendRequestOfKind(agent: Agent, target: RequestTarget, disconnectAfterMs?: Milliseconds): Promise<RequestRecord> {
 	nextId++;
+	const {path: otherPath, deadlineMs = callerTimeoutMs, ...values} = target;
 	const {path, method, tokens, units} = requestTemplates[target.kind];
 	const record: RequestRecord = {
-		...target, requestId: `call-${nextId}`, units, sentAt: performance.now(), endedAt: Infinity, body: '', isComplete: false,
+		...values, deadlineMs, requestId: `call-${nextId}`, units, sentAt: performance.now(), endedAt: Infinity, body: '', isComplete: false,
 	};
 	const headers: Record<string, string> = {
-		host: 'office.example', 'x-request-id': record.requestId, 'x-deadline-ms': String(callerTimeoutMs), authorization: `Bearer ${target.key}`,
+		host: 'office.example', 'x-request-id': record.requestId, 'x-deadline-ms': String(deadlineMs), authorization: `Bearer ${target.key}`,
 	};
 	if (tokens !== undefined) {
 		headers['x-token-count'] = tokens;
@@ -66,10 +72,10 @@
 	const timer = setTimeout(() => {
 		record.disconnectedAt = performance.now();
 		abortController.abort();
-	}, disconnectAfterMs ?? callerTimeoutMs + 1000);
+	}, disconnectAfterMs ?? deadlineMs + 1000);
 	try {
 		const {status, body, isComplete, headers: responseHeaders} = await sendRequest({
-			host: target.instance, port: instancePorts.callers, path, method, agent, headers, signal: abortController.signal,
+			host: target.instance, port: instancePorts.callers, path: otherPath ?? path, method, agent, headers, signal: abortController.signal,
 		}, method === 'POST' ? 'body' : undefined);
 		Object.assign(record, {status, body, isComplete});
 		const seal = responseHeaders['x-response-seal'];
@@ -109,6 +115,30 @@
 	agent.destroy();
 }
 
+export type PatientRequestsOptions = {
+	readonly instance: string;
+	readonly key: CallerKey;
+	readonly count: number;
+	readonly intervalMs: Milliseconds;
+};
+
+/** Sends requests to the slow service at a constant rate, each on its own connection, and waits for them for a long time. */
+export async function sendPatientRequests({instance, key, count, intervalMs}: PatientRequestsOptions): Promise<RequestRecord[]> {
+	const requests: Array<Promise<RequestRecord>> = [];
+	for (let index = 0; index < count; index++) {
+		const agent = new Agent();
+		requests.push(sendRequestOfKind(agent, {
+			kind: requestKinds.booking, path: '/reports/1', instance, ...key, promptParts: [], deadlineMs: patientTimeoutMs,
+		}).finally(() => {
+			agent.destroy();
+		}));
+		// eslint-disable-next-line no-await-in-loop
+		await delay(intervalMs);
+	}
+
+	return Promise.all(requests);
+}
+
 /** Sends one request of each kind, each on its own connection. */
 export async function sendOneOfEachKind(instance: string, key: CallerKey): Promise<RequestRecord[]> {
 	return Promise.all(Object.values(requestKinds).map(async kind => {
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -56,6 +56,13 @@
 /** Requests that may reach an endpoint from an instance that it has asked to wait. */
 const requestsInRetryTime = 2;
 
+/** Time after SIGHUP or a new configuration in which no request may be cut. */
+const changeMs: Milliseconds = bounds.configurationMs + secondMs;
+
+/** Requests that are sent within this time after SIGTERM may be cut near the end of the grace, while their endpoints work. */
+const acceptedAfterStopMs: Milliseconds = 3000;
+const lateGraceFraction = 5 / 6;
+
 type Check = (history: History) => string[];
 
 const completeStream = Array.from({length: streamEventCount}, (_, index) => formatStreamEvent(index + 1)).join('');
@@ -127,6 +134,38 @@
 	return receivedRequests.filter(received => received.service === service).toSorted((a, b) => a.receivedAt - b.receivedAt);
 }
 
+type PlannedWork = {
+	readonly what: string;
+	/** Without one it concerns all instances. */
+	readonly instance?: string;
+	readonly at: Milliseconds;
+	/** Later requests are not those of the process concerned. */
+	readonly sentBefore: Milliseconds;
+	readonly endedBefore: Milliseconds;
+};
+
+function findPlannedWork(history: History): PlannedWork[] {
+	const untilChanged = (at: Milliseconds) => ({at, sentBefore: Infinity, endedBefore: at + changeMs});
+	return [
+		...eventsOf(history, 'stop-requested').map(({instance, at, until}) => ({
+			what: 'SIGTERM', instance, at, sentBefore: until, endedBefore: Infinity,
+		})),
+		...eventsOf(history, 'hang-up').map(({instance, at}) => ({what: 'SIGHUP', instance, ...untilChanged(at)})),
+		...eventsOf(history, 'configuration-published').map(({at}) => ({what: 'a configuration', ...untilChanged(at)})),
+	];
+}
+
+/** Whether a request may end without an answer: its deadline was reached, its endpoint ended, or still worked on it near the end of the grace. */
+function mayBeCut(history: History, request: RequestRecord): boolean {
+	const received = history.receivedRequests.filter(({requestId}) => requestId === request.requestId);
+	const isEnded = eventsOf(history, 'endpoint-ended').some(({endpoint, at}) => request.endedAt >= at && request.endedAt <= at + secondMs
+		&& received.some(other => other.endpoint === endpoint && other.receivedAt <= at));
+	const isWorkedOn = eventsOf(history, 'stop-requested').some(({instance, at}) => request.instance === instance && request.sentAt <= at + acceptedAfterStopMs
+		&& request.endedAt >= at + (bounds.stopGraceMs * lateGraceFraction)
+		&& received.some(({isExecuted, closedAt}) => isExecuted && (closedAt ?? Infinity) >= at + (bounds.stopGraceMs * lateGraceFraction)));
+	return isEnded || isWorkedOn || request.endedAt - request.sentAt >= request.deadlineMs;
+}
+
 /** One check for each guarantee; it returns descriptions of the violations in a history. */
 export const checks = {
 	'runs-at-most-once'(history) {
@@ -285,12 +324,13 @@
 	},
 	'planned-stop-without-cut'(history) {
 		const receivedIds = new Set(history.receivedRequests.map(({requestId}) => requestId));
-		return eventsOf(history, 'stop-requested').flatMap(event => history.requests
-			.filter(request => request.instance === event.instance && request.endedAt > event.at && request.sentAt < event.until
-				&& request.disconnectedAt === undefined && !request.isComplete
-				&& (receivedIds.has(request.requestId) || request.endedAt - request.sentAt > bounds.stopDropMs)
-				&& isWithoutFaults(history, request.sentAt, request.endedAt))
-			.map(request => `${request.requestId} was cut ${Math.round(request.endedAt - event.at)} ms after ${request.instance} was asked to stop`));
+		const cut = history.requests.filter(request => request.disconnectedAt === undefined && !request.isComplete
+			&& (receivedIds.has(request.requestId) || request.endedAt - request.sentAt > bounds.stopDropMs)
+			&& isWithoutFaults(history, request.sentAt, request.endedAt)
+			&& !mayBeCut(history, request));
+		return findPlannedWork(history).flatMap(({what, instance, at, sentBefore, endedBefore}) => cut
+			.filter(request => (instance === undefined || request.instance === instance) && request.endedAt > at && request.endedAt <= endedBefore && request.sentAt < sentBefore)
+			.map(request => `${request.requestId} was cut at ${request.instance} ${Math.round(request.endedAt - at)} ms after ${what}`));
 	},
 	'left-caller-cancelled'(history) {
 		const disconnected = findExecutedRequests(history).filter(({request, received}) => isStream(request.kind) && request.disconnectedAt !== undefined
--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -26,9 +26,14 @@
 const eventIntervalMs: Milliseconds = 70;
 
 const slotsPerEndpoint = 8;
+const slotsPerSlowEndpoint = 4;
 
 const serviceTimeMs: Milliseconds = 20;
 
+/** A plain service whose requests take so long that others wait for it when the grace of a stop ends. */
+export const slowService = 'reports';
+const slowServiceTimeMs: Milliseconds = 7000;
+
 export const coldMs: Milliseconds = 3000;
 
 /** Time for which an endpoint continues to serve after its draining time. */
@@ -124,6 +129,7 @@
 		this.options.store.remove(`servers/${endpoint.id}`);
 		this.current = this.current.filter(other => other !== endpoint);
 		await delay(servesForMs);
+		this.options.events.push({kind: 'endpoint-ended', endpoint: endpoint.id, at: performance.now()});
 		await endpoint.standIn.dispose();
 	}
 
@@ -191,7 +197,8 @@
 
 	async #startStandIn(id: string, service: string, port?: number): Promise<PlatformEndpoint> {
 		const standIn: PlatformEndpoint = await PlatformEndpoint.listen({
-			id, isEngine: service === engineService, eventIntervalMs, eventCount: streamEventCount, serviceTimeMs, port,
+			id, isEngine: service === engineService, eventIntervalMs, eventCount: streamEventCount, port,
+			serviceTimeMs: service === slowService ? slowServiceTimeMs : serviceTimeMs,
 			crashingParts: this.options.crashingParts,
 			crashMoment: allCrashMoments[this.#starts.length % allCrashMoments.length],
 			onCrash: part => {
@@ -203,7 +210,7 @@
 
 	#writeEndpointRecord({id, service, availabilityZone, proxy, startCount}: SoakEndpoint, values: Record<string, unknown> = {}): void {
 		this.options.store.put(`servers/${id}`, createEndpointDocument({
-			service, address: proxy.address, zone: availabilityZone, born: startCount, slots: slotsPerEndpoint, ...values,
+			service, address: proxy.address, zone: availabilityZone, born: startCount, slots: service === slowService ? slotsPerSlowEndpoint : slotsPerEndpoint, ...values,
 		}));
 	}
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,9 +5,11 @@
 import type {FaultProxy, ProxyFault} from '../standins/fault-proxy.js';
 import {endpointFaults} from '../standins/platform-endpoint.js';
 import type {RandomSource} from '../standins/random-source.js';
-import type {FaultPeriod} from './history.js';
+import {sendPatientRequests} from './callers.js';
 import {bounds} from './checks.js';
+import type {ConfigurationChange} from './configuration.js';
 import {availabilityZones, engineService} from './endpoints.js';
+import type {FaultPeriod} from './history.js';
 import type {Instance, SoakSite} from './site.js';
 
 /** Endpoints of a service that must remain while one of them is drained or restarts. */
@@ -30,6 +32,14 @@
 /** Long enough that the record of an endpoint that drains meanwhile is gone. */
 const drainUnreadMs: Milliseconds = 8000;
 
+/** Requests to the slow service as long as a stopping instance accepts connections: some more than can run until the end of the grace. */
+const slowLoadDelayMs: Milliseconds = 1600;
+const slowLoad = {count: 11, intervalMs: 120} as const;
+
+function pickConfigurationChange(random: RandomSource): ConfigurationChange {
+	return {addedRoutes: random.pick([0, 300, 800])!, idleTimeoutMs: random.pick([300, 2000, 15_000])!};
+}
+
 type Fault = (site: SoakSite, random: RandomSource) => Promise<void>;
 
 /** Records the period of a fault. */
@@ -110,12 +120,46 @@
 		await withReservedInstances([random.pick(site.instances)!], async instance => site.stopAndRestartInstance(instance));
 	},
 	async hangUp(site, random) {
-		const {process: child} = random.pick(site.instances)!;
+		const instance = random.pick(site.instances)!;
 		// No program can handle a signal before the runtime has started.
-		if (await handlesHangUp(child.pid)) {
-			child.signal('SIGHUP');
+		if (await handlesHangUp(instance.process.pid)) {
+			site.hangUp(instance);
 		}
 	},
+	async stopTwice(site, random) {
+		await withReservedInstances([random.pick(site.instances)!], async instance => site.stopAndRestartInstance(instance, async () => {
+			await delay(random.integer(0, 3000));
+			instance.process.signal('SIGTERM');
+		}));
+	},
+	async stopBesideChanges(site, random) {
+		await withReservedInstances([random.pick(site.instances)!], async instance => site.stopAndRestartInstance(instance, async () => {
+			await delay(random.integer(0, 1500));
+			site.hangUp(instance);
+			await delay(random.integer(0, 1500));
+			site.configuration.publish(pickConfigurationChange(random));
+		}));
+	},
+	/** Requests still wait when the grace ends, because the endpoints work for seconds on others. */
+	async stopBesideSlowService(site, random) {
+		await withReservedInstances([random.pick(site.instances)!], async instance => site.stopAndRestartInstance(instance, async () => {
+			await delay(slowLoadDelayMs);
+			site.requests.push(...await sendPatientRequests({instance: instance.host, key: site.configuration.callerKeys()[0]!, ...slowLoad}));
+		}));
+	},
+	async configureSeries(site, random) {
+		for (let count = random.integer(4, 10); count > 0; count--) {
+			site.configuration.publish(pickConfigurationChange(random));
+			// eslint-disable-next-line no-await-in-loop
+			await delay(random.integer(50, 1300));
+		}
+
+		site.configuration.publish();
+	},
+	/** A sound endpoint may pause for a second or two. */
+	async silence(site, random) {
+		await applyProxyFault(random.pick(site.endpoints.current)!.proxy, {blackHole: 'backward'}, random.integer(1000, 1900));
+	},
 	async moveLookups(site) {
 		site.configuration.moveLookups();
 	},
--- a/soak/history.ts
+++ b/soak/history.ts
@@ -25,6 +25,8 @@
 	readonly promptParts: readonly string[];
 	/** Units that the request uses of the workspace's quota. */
 	readonly units: number;
+	/** Time after which its caller gives up. */
+	readonly deadlineMs: Milliseconds;
 	readonly sentAt: Milliseconds;
 	endedAt: Milliseconds;
 	status?: number;
@@ -57,6 +59,10 @@
 /** A change of the site, with the time at which the store acknowledged it. */
 export type SiteEvent
 	= | {readonly kind: 'endpoint-draining'; readonly endpoint: string; readonly at: Milliseconds}
+		/** The endpoint closes its connections, also those of requests that it works on. */
+		| {readonly kind: 'endpoint-ended'; readonly endpoint: string; readonly at: Milliseconds}
+		| {readonly kind: 'configuration-published'; readonly at: Milliseconds}
+		| {readonly kind: 'hang-up'; readonly instance: string; readonly at: Milliseconds}
 		| {readonly kind: 'endpoint-cold'; readonly endpoint: string; readonly at: Milliseconds; readonly until: Milliseconds}
 		| {readonly kind: 'endpoint-limited'; readonly endpoint: string; readonly perSecond: number; readonly at: Milliseconds; until: Milliseconds}
 		| {readonly kind: 'endpoint-states-leaving'; readonly endpoint: string; readonly at: Milliseconds; until: Milliseconds}
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -15,9 +15,9 @@
 import {PlatformStore} from '../standins/platform-store.js';
 import {bounds} from './checks.js';
 import {lookupServices, SoakConfiguration} from './configuration.js';
-import {availabilityZones, SoakEndpoints} from './endpoints.js';
+import {availabilityZones, slowService, SoakEndpoints} from './endpoints.js';
 import type {
-	FaultPeriod, ProcessExit, ProcessRecord, SiteEvent,
+	FaultPeriod, ProcessExit, ProcessRecord, RequestRecord, SiteEvent,
 } from './history.js';
 import {SoakPrompts} from './prompts.js';
 
@@ -41,7 +41,7 @@
 		const store = await PlatformStore.listen();
 		const site = new SoakSite(store, directory);
 		site.configuration.publish();
-		await site.endpoints.start(lookupServices);
+		await site.endpoints.start([...lookupServices, slowService]);
 		const hosts = Array.from({length: instanceCount}, (_, index) => `127.${20 + (process.pid % 80)}.${Math.floor(process.pid / 80) % 250}.${index + 1}`);
 		for (const [index, host] of hosts.entries()) {
 			// eslint-disable-next-line no-await-in-loop
@@ -54,6 +54,7 @@
 	readonly instances: Instance[] = [];
 	readonly events: SiteEvent[] = [];
 	readonly faultPeriods: FaultPeriod[] = [];
+	readonly requests: RequestRecord[] = [];
 	/** Processes that ended without being asked to. */
 	readonly exits: ProcessExit[] = [];
 	readonly configuration: SoakConfiguration;
@@ -96,17 +97,29 @@
 		}
 	}
 
-	/** Asks an instance to stop, and starts it again when it has ended. */
-	async stopAndRestartInstance(instance: Instance): Promise<void> {
+	/**
+	Asks an instance to stop, and starts it again when it has ended.
+
+	@param meanwhile what happens during the stop
+	*/
+	async stopAndRestartInstance(instance: Instance, meanwhile?: () => Promise<void>): Promise<void> {
 		const event: SiteEvent = {
 			kind: 'stop-requested', instance: instance.host, at: performance.now(), until: Infinity,
 		};
 		this.events.push(event);
+		const happened = meanwhile?.();
 		await instance.process.stop(bounds.stopGraceMs);
 		event.until = performance.now();
+		await happened;
 		await this.restartInstance(instance);
 	}
 
+	/** Sends SIGHUP to an instance. */
+	hangUp({host, process: child}: Instance): void {
+		this.events.push({kind: 'hang-up', instance: host, at: performance.now()});
+		child.signal('SIGHUP');
+	}
+
 	/** Resolves when all instances are ready. */
 	async waitUntilReady(): Promise<void> {
 		await Promise.all(this.instances.map(async instance => this.#waitUntilInstanceReady(instance)));
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -5,7 +5,6 @@
 import {sendOneOfEachKind, runCaller} from './callers.js';
 import {findViolations, type Violation} from './checks.js';
 import {plannedFaults, unplannedFaults} from './faults.js';
-import type {RequestRecord} from './history.js';
 import {SoakSite} from './site.js';
 
 /** Maximum pause between the starts of two faults. Faults last longer, so they overlap. */
@@ -78,7 +77,7 @@
 	const promptRandom = RandomSource.create(seed - 1);
 	const site = await SoakSite.start(instances, directory);
 	const callersAbortController = new AbortController();
-	const requests: RequestRecord[] = [];
+	const {requests} = site;
 	const supervisionTimer = setInterval(() => {
 		site.restartExitedInstances();
 	}, supervisionIntervalMs);
