Keep requests at an endpoint that falls silent for a moment

What callers saw while sound endpoints were silent for 1.0 to 1.9 s (they accept no connection, answer nothing, hold back streams, then go on): begun streams were cut, bookings and lookups were refused as "overloaded".

Causes: - A resumable stream without an event for 0.7 of its caller's patience was cancelled and queued again, and cut when no endpoint could take it within 200 ms more. - A connection that got no answer within 400 ms counted like a refused one: the endpoint was excluded for the request and taken for restarted (cold). - Each request that went unanswered doubled the pause of the endpoint and counted as one more failure, so one silence paused it for up to 4 s.

Change: - A stalled stream waits in the queue for another endpoint while its attempt goes on. It moves when one has a free slot and answers at that time (has sent something lately and not only begun again, or is idle while not all others are silent). Events in the meantime end the wait. - A begun stream that waits is not ended before its caller's patience ends. - A connection that is not answered in time has an outcome of its own, `unanswered`: nothing was sent, so the request goes to another endpoint, or to the same one after its pause. It shows a restart only when the endpoint has been silent for longer than two seconds; a refusal does at once. - All unanswered requests of one silence are one failure. The pause grows with the silence, then one request at a time is the trial, and anything that the endpoint sends ends it. - While all endpoints are silent for a moment, the few dispatches do not count as overload. - A request of which nothing was sent until its deadline is refused as not run instead of with 504.

Trade: a stream moves at the same time as before when an endpoint that answers has a free slot, so one whose endpoint is gone still goes on in time. It is moved although its endpoint is sound when the silence is longer than 1.4 s and another answers: its caller might leave otherwise. When all endpoints with requests of this instance are silent, a stream stays; if two endpoints are gone at once and the others are idle, streams stay until one of those has answered a request. If only one endpoint has requests, an idle one is taken for sound. A restart after which the endpoint accepts no connections for less than two seconds is known by its record or a refused connection only. A lookup that waits for a response is not sent elsewhere before it breaks.

In endpoint-load.test.ts existing calls of recordDispatch only get the time that it now takes.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -248,8 +248,8 @@
 			return attemptOutcomes.cancelled;
 		}
 
-		if (end.kind === 'unreachable') {
-			return attemptOutcomes.unreachable;
+		if (end.kind === 'unanswered' || end.kind === 'unreachable') {
+			return attemptOutcomes[end.kind];
 		}
 
 		if (end.kind !== 'complete' || this.#endsInsideEvent || this.#isBodyMissing) {
--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -1,4 +1,5 @@
 import {errors, type Dispatcher} from 'undici';
+import {ConnectTimeoutError} from '../../shared/connector.js';
 import {toError} from '../../shared/describe-error.js';
 import type {EndpointConnection} from './endpoint-connection-pool.js';
 
@@ -10,18 +11,19 @@
 /** Interim responses (1xx) after which an endpoint counts as broken. Endpoints send none, or one. */
 const maximumInterimResponses = 8;
 
-/** How an exchange ended. `not-sent` means that this process withheld the request, `invalid` that it can't be written to any endpoint. */
+/** How an exchange ended. `not-sent` means that this process withheld the request, `invalid` that it can't be written to any endpoint, and `unanswered` that no connection was opened in time. */
 export type ExchangeEnd
 	= | {readonly kind: 'complete'}
 		| {readonly kind: 'invalid'; readonly error: Error}
 		| {readonly kind: 'not-sent'; readonly error: Error}
+		| {readonly kind: 'unanswered'; readonly error: Error}
 		| {readonly kind: 'unreachable'; readonly error: Error}
 		| {readonly kind: 'broken'; readonly error: Error}
 		| {readonly kind: 'cancelled'; readonly error: Error};
 
 /** Whether it is certain that no byte of the request was written. */
 export function isUnsent({kind}: ExchangeEnd): boolean {
-	return kind === 'not-sent' || kind === 'unreachable' || kind === 'invalid';
+	return kind === 'not-sent' || kind === 'unanswered' || kind === 'unreachable' || kind === 'invalid';
 }
 
 export type ExchangeOptions = {
@@ -126,6 +128,8 @@
 		} else if (error instanceof errors.InvalidArgumentError) {
 			// The HTTP client rejects the request itself, before it looks for a connection, so the endpoint has no part in it.
 			this.#end({kind: 'invalid', error});
+		} else if (error instanceof ConnectTimeoutError) {
+			this.#end({kind: 'unanswered', error});
 		} else {
 			this.#end({kind: this.#isWithheld ? 'not-sent' : 'unreachable', error});
 		}
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -16,6 +16,9 @@
 /** Fraction of the callers' patience after which a started stream without events is continued at another endpoint. An engine that processes a long prompt pauses for up to about 1,000 ms of at least 2,000 ms. */
 const stallTimeoutRatio = 0.7;
 
+/** Fraction of the callers' patience within which an endpoint must have sent something to get a stalled stream of another one. */
+const answeredRatio = 0.35;
+
 /** Bytes on a connection after which its endpoint counts as broken: twice the largest body, because chunks and headers need some, too. */
 const maximumReceivedBytes = 8_388_608;
 
@@ -38,6 +41,8 @@
 	/** Ids of endpoints that may have run the request. */
 	readonly #possiblyRunBy = new Set<string>();
 	#attempt: Attempt | undefined;
+	/** Waits for a slot at another endpoint while a stalled stream goes on where it is. */
+	#waitingMove: WaitingRequest | undefined;
 	/** Attempts that the endpoint survived. */
 	readonly #survived = new WeakSet<Attempt>();
 	#sendCount = 0;
@@ -105,11 +110,13 @@
 			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled);
 			attempt.exchange?.cancel(new Error('the deadline of the request has passed'));
 			this.#recordAbandoned(attempt);
-			this.#fail({type: 'timedOut'});
+			this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'waitedTooLong', retryAfterMs: 0} : {type: 'timedOut'});
 		} else if ((attempt.exchange?.receivedBytes ?? 0) > maximumReceivedBytes) {
 			attempt.exchange?.cancel(new Error(`the endpoint sent more than ${maximumReceivedBytes} bytes`));
-		} else if (this.#isStalled(attempt, now) && this.#mayRetry(attempt, now) && this.#takeRetryBudget(now)) {
-			attempt.cancelAsStalled(now - attempt.lastProgressAt);
+		} else if (this.#isStalled(attempt, now)) {
+			this.#requestMove(attempt, now);
+		} else {
+			this.#withdrawMove();
 		}
 	}
 
@@ -187,15 +194,63 @@
 		return route.isResumable && attempt.eventCount > 0 && now - attempt.lastProgressAt > stallTimeoutRatio * streamTimeoutMs(route);
 	}
 
+	/** Queues a stalled stream for another endpoint that answers. The attempt goes on, because its endpoint may be sound, until there is a free slot. */
+	#requestMove(attempt: Attempt, now: Milliseconds): void {
+		const {context, request: {route, service}} = this;
+		const waiting = this.#createWaitingRequest(this.#lastEventAt, route.eventGapTargetMs);
+		if (this.#waitingMove !== undefined || now > waiting.latestDispatchAt || !this.#mayRetry(attempt, now) || !context.retryBudgets.canTake(service, context.memberCount(), now)) {
+			return;
+		}
+
+		this.#waitingMove = {
+			...waiting,
+			excluded: new Set([...this.#excluded, attempt.endpointId]),
+			answeredSince: now - (answeredRatio * streamTimeoutMs(route)),
+			dispatch: (endpointId, inFlight) => {
+				this.#move(attempt, endpointId, inFlight);
+			},
+			refuse: () => {
+				this.#waitingMove = undefined;
+			},
+		};
+		context.scheduler.submit(this.#waitingMove);
+	}
+
+	/** Continues a stalled stream at the endpoint that has a free slot for it. */
+	#move(attempt: Attempt, endpointId: string, inFlight: number): void {
+		const {clock, containment, scheduler} = this.context;
+		const now = clock.now();
+		this.#waitingMove = undefined;
+		if (this.#attempt === attempt && this.#isStalled(attempt, now) && containment.withholdAdmitted(this.request.promptParts) === undefined && this.#takeRetryBudget(now)) {
+			attempt.cancelAsStalled(now - attempt.lastProgressAt);
+			if (!this.#isEnded) {
+				this.#dispatch(endpointId, inFlight);
+				return;
+			}
+		}
+
+		scheduler.recordOutcome(endpointId, attemptOutcomes.cancelled);
+	}
+
+	#withdrawMove(): void {
+		if (this.#waitingMove !== undefined) {
+			this.context.scheduler.withdraw(this.#waitingMove);
+			this.#waitingMove = undefined;
+		}
+	}
+
 	/**
 	@param waitStartedAt start of the caller's current wait: the arrival of the request, or the last event of a started stream
 	*/
 	#createWaitingRequest(waitStartedAt: Milliseconds, targetMs: Milliseconds): WaitingRequest {
 		const {metadata, route, tier} = this.request;
+		const remainingMs = this.#deadlineAt - waitStartedAt;
+		// A started stream is not ended before its caller leaves it.
+		const waitMs = this.#isHeadSent ? Math.min(streamTimeoutMs(route), remainingMs) : maximumWaitMs(route, remainingMs);
 		return {
 			tier,
 			targetAt: waitStartedAt + targetMs,
-			latestDispatchAt: waitStartedAt + maximumWaitMs(route, this.#deadlineAt - waitStartedAt),
+			latestDispatchAt: waitStartedAt + waitMs,
 			deadlineAt: this.#deadlineAt,
 			promptTokens: metadata.tokens?.prompt ?? 0,
 			expectedOutputTokens: metadata.expectedOutputTokens,
@@ -304,6 +359,7 @@
 	}
 
 	#onHead(attempt: Attempt, endpoint: EndpointRecord, head: ResponseHead): void {
+		this.context.scheduler.recordHeard(endpoint.id);
 		const foreignRequestId = attempt.acceptHead(head, this.context.clock.now());
 		if (attempt.statement !== undefined) {
 			this.context.recordStatement(endpoint, attempt.statement, attempt.isSuccess ? attempt.sentAt : undefined);
@@ -321,6 +377,7 @@
 		const now = this.context.clock.now();
 		const streamChunk = attempt.acceptData(chunk, now);
 		if (streamChunk !== undefined) {
+			this.context.scheduler.recordHeard(attempt.endpointId);
 			this.#lastEventId = streamChunk.lastEventId ?? this.#lastEventId;
 			this.#lastEventAt = now;
 			this.#firstResponseMs ??= now - this.request.arrivedAt;
@@ -366,7 +423,22 @@
 		}
 
 		this.#attempt = undefined;
+		this.#withdrawMove();
 		const outcome = attempt.outcome(end);
+		const recordOutcome = () => {
+			this.context.scheduler.recordOutcome(attempt.endpointId, outcome, {
+				durationMs: attempt.isContinuation ? undefined : this.context.clock.now() - attempt.sentAt,
+				eventIntervalMs: attempt.eventIntervalMs,
+				events: attempt.isContinuation ? undefined : attempt.eventCount,
+				expectedOutputTokens: this.request.metadata.expectedOutputTokens,
+			});
+		};
+
+		if (outcome === attemptOutcomes.unanswered) {
+			// The endpoint is paused first, so that the request tries others before it.
+			recordOutcome();
+		}
+
 		try {
 			this.#handleAttemptEnd(attempt, outcome, end);
 		} catch (error) {
@@ -374,13 +446,10 @@
 			this.#failUnexpectedly(error);
 		}
 
-		// The slot is released last, so that this request can be retried before another request takes the slot.
-		this.context.scheduler.recordOutcome(attempt.endpointId, outcome, {
-			durationMs: attempt.isContinuation ? undefined : this.context.clock.now() - attempt.sentAt,
-			eventIntervalMs: attempt.eventIntervalMs,
-			events: attempt.isContinuation ? undefined : attempt.eventCount,
-			expectedOutputTokens: this.request.metadata.expectedOutputTokens,
-		});
+		if (outcome !== attemptOutcomes.unanswered) {
+			// The slot is released last, so that this request can be retried before another request takes the slot.
+			recordOutcome();
+		}
 	}
 
 	#handleAttemptEnd(attempt: Attempt, outcome: AttemptOutcome, end: ExchangeEnd): void {
@@ -413,8 +482,15 @@
 		});
 		if (end.kind === 'invalid') {
 			this.#fail({type: this.#possiblyRunBy.size === 0 ? 'malformedRequest' : 'endpointFailed'});
-		} else {
+			return;
+		}
+
+		// An endpoint that did not answer is paused, so others come first, but it may be sound and go on.
+		if (outcome !== attemptOutcomes.unanswered) {
 			this.#excluded.add(attempt.endpointId);
+		}
+
+		if (!attempt.isStalled) {
 			this.#retryOrFail(attempt, outcome, end, now);
 		}
 	}
@@ -437,7 +513,7 @@
 			return;
 		}
 
-		if (isNotRun ? this.#takeRetryBudget(now) : attempt.isStalled || (this.#mayRetry(attempt, now) && this.#takeRetryBudget(now))) {
+		if ((isNotRun || this.#mayRetry(attempt, now)) && this.#takeRetryBudget(now)) {
 			this.#resubmit();
 		} else if (isNotRun) {
 			this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'notRun', retryAfterMs: 500} : {type: 'endpointFailed'});
@@ -514,6 +590,7 @@
 
 	#end(result: ForwardResult): void {
 		this.#isEnded = true;
+		this.#withdrawMove();
 		this.context.onEnd(result);
 	}
 }
--- a/src/gateway/limits/retry-budgets.ts
+++ b/src/gateway/limits/retry-budgets.ts
@@ -24,7 +24,17 @@
 
 	/** @param memberCount number of instances that the fixed number is divided among */
 	tryTake(service: string, memberCount: number, now: Milliseconds): boolean {
-		const current = this.#currentSlice(service, now);
+		if (!this.canTake(service, memberCount, now)) {
+			return false;
+		}
+
+		this.#currentSlice(service, now).retries++;
+		return true;
+	}
+
+	/** As `tryTake`, but takes nothing. */
+	canTake(service: string, memberCount: number, now: Milliseconds): boolean {
+		this.#currentSlice(service, now);
 		let requests = 0;
 		let retries = 0;
 		for (const slice of this.#slices.get(service)!) {
@@ -33,12 +43,7 @@
 		}
 
 		const allowedRetries = usedBoundRatio * ((this.bounds.retryRatio * requests) + (this.bounds.retryExtra / memberCount));
-		if (retries + 1 > allowedRetries) {
-			return false;
-		}
-
-		current.retries++;
-		return true;
+		return retries + 1 <= allowedRetries;
 	}
 
 	#currentSlice(service: string, now: Milliseconds): Slice {
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -12,6 +12,19 @@
 
 const maximumBackoffMs: Milliseconds = 4000;
 
+/** Fraction of the time since an endpoint fell silent for which it is paused again. A sound one goes on after a second or so and is then used soon. */
+const silencePauseRatio = 0.25;
+
+/** Pause after a request to an endpoint that had fallen silent, unless it is heard from: one request at a time finds out whether it goes on. */
+const trialPauseMs: Milliseconds = 500;
+
+/** Sound endpoints are silent for less than this. One that has answered no connection for longer may have been restarted. */
+const soundSilenceMs: Milliseconds = 2000;
+
+/** Pause in what an endpoint sends after which it counts as answering only when it has sent for some time again: endpoints that were silent together go on together. */
+const heardPauseMs: Milliseconds = 1000;
+const heardAgainMs: Milliseconds = 200;
+
 /** Weight of the newest request in the moving average of failures. */
 const failureSmoothingFactor = 0.15;
 
@@ -27,8 +40,10 @@
 	rejected: 'rejected',
 	/** The connection closed early, or the response was not the endpoint's own. */
 	broken: 'broken',
-	/** No connection could be opened. */
+	/** No connection could be opened, such as when no process listens. */
 	unreachable: 'unreachable',
+	/** No connection was opened in time. Nothing was sent. */
+	unanswered: 'unanswered',
 	/** Nothing was received from the endpoint in time. */
 	silent: 'silent',
 	/** The caller disconnected, or the request was withdrawn. */
@@ -51,6 +66,13 @@
 	#consecutiveFailures = 0;
 	#failureRatio = 0;
 	#pausedUntil: Milliseconds = -Infinity;
+	/** When a request first went unanswered since the endpoint was last heard from. */
+	#silentSince: Milliseconds | undefined;
+	#silencePausedUntil: Milliseconds = -Infinity;
+	/** When it began to send after a pause. */
+	#heardAgainAt: Milliseconds = -Infinity;
+	/** When it last sent a response head or an event. */
+	#lastHeardAt: Milliseconds = -Infinity;
 
 	private constructor(record: EndpointRecord, now: Milliseconds) {
 		this.record = record;
@@ -77,7 +99,17 @@
 	}
 
 	isPaused(now: Milliseconds): boolean {
-		return now < this.#pausedUntil;
+		return now < Math.max(this.#pausedUntil, this.#silencePausedUntil);
+	}
+
+	/** Whether the endpoint has fallen silent, for no longer than a sound one does. */
+	isBrieflySilent(now: Milliseconds): boolean {
+		return this.#silentSince !== undefined && now - this.#silentSince < soundSilenceMs;
+	}
+
+	/** Whether the endpoint has sent something since, and not only begun to again; undefined if it has nothing to answer to this instance. */
+	hasAnsweredSince(at: Milliseconds, now: Milliseconds): boolean | undefined {
+		return this.#inFlight === 0 && this.#silentSince === undefined ? undefined : this.#lastHeardAt >= at && now - this.#heardAgainAt >= heardAgainMs;
 	}
 
 	get isFailing(): boolean {
@@ -89,6 +121,7 @@
 			this.#consecutiveFailures = 0;
 			this.#failureRatio = 0;
 			this.#pausedUntil = -Infinity;
+			this.#endSilence();
 			this.#hasEventInterval = false;
 		}
 
@@ -105,10 +138,24 @@
 		this.#coldUntil = Math.max(this.#coldUntil, until);
 	}
 
-	recordDispatch(): void {
+	recordDispatch(now: Milliseconds): void {
+		if (this.#silentSince !== undefined) {
+			this.#silencePausedUntil = now + trialPauseMs;
+		}
+
 		this.#inFlight++;
 	}
 
+	/** Records that the endpoint has sent a response head or an event. */
+	recordHeard(now: Milliseconds): void {
+		if (now - this.#lastHeardAt > heardPauseMs) {
+			this.#heardAgainAt = now;
+		}
+
+		this.#lastHeardAt = now;
+		this.#endSilence();
+	}
+
 	/**
 	@param newestIntervalMs average time between the events of the stream, if it had enough of them
 	@returns whether the endpoint may have been restarted
@@ -124,6 +171,10 @@
 			return false;
 		}
 
+		if (outcome === attemptOutcomes.silent || outcome === attemptOutcomes.unanswered) {
+			return this.#recordSilence(now) && outcome === attemptOutcomes.unanswered;
+		}
+
 		const hasFailed = outcome !== attemptOutcomes.completed;
 		this.#failureRatio += failureSmoothingFactor * ((hasFailed ? 1 : 0) - this.#failureRatio);
 		if (outcome === attemptOutcomes.completed || outcome === attemptOutcomes.failed) {
@@ -136,4 +187,25 @@
 		// A crash closes the port and breaks every connection. While other requests are still in flight, only this response was lost.
 		return outcome === attemptOutcomes.unreachable || (outcome === attemptOutcomes.broken && this.#inFlight === 0);
 	}
+
+	/**
+	Pauses the endpoint after a request that it did not answer. Many requests of one silence count as one failure.
+
+	@returns whether it has been silent for longer than a sound endpoint
+	*/
+	#recordSilence(now: Milliseconds): boolean {
+		if (this.#silentSince === undefined) {
+			this.#silentSince = now;
+			this.#failureRatio += failureSmoothingFactor * (1 - this.#failureRatio);
+		}
+
+		const silentMs = now - this.#silentSince;
+		this.#silencePausedUntil = Math.max(this.#silencePausedUntil, now + Math.min(Math.max(initialBackoffMs, silencePauseRatio * silentMs), maximumBackoffMs));
+		return silentMs > soundSilenceMs;
+	}
+
+	#endSilence(): void {
+		this.#silentSince = undefined;
+		this.#silencePausedUntil = -Infinity;
+	}
 }
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -153,6 +153,11 @@
 		return this.#queue.remove(request);
 	}
 
+	/** Records that an endpoint has sent a response head or an event. */
+	recordHeard(endpointId: string): void {
+		this.#loads.get(endpointId)?.recordHeard(this.options.clock.now());
+	}
+
 	/** Records the end of a request at an endpoint and dispatches waiting requests to the free slot. */
 	recordOutcome(endpointId: string, outcome: AttemptOutcome, {durationMs, eventIntervalMs, events, expectedOutputTokens}: RunMeasurements = {}): void {
 		const now = this.options.clock.now();
@@ -221,7 +226,7 @@
 	}
 
 	#refuseIfTooLate(request: WaitingRequest, expectedWaitMs: Milliseconds | undefined, now: Milliseconds): void {
-		if (expectedWaitMs !== undefined && now + expectedWaitMs > request.latestDispatchAt && this.#queue.remove(request)) {
+		if (expectedWaitMs !== undefined && now + expectedWaitMs > request.latestDispatchAt && !this.#areAllBrieflySilent(now) && this.#queue.remove(request)) {
 			this.#refuse(request, refusalReasons.overloaded, this.#retryAfterMs(request, now), expectedWaitMs);
 		}
 	}
@@ -266,7 +271,7 @@
 			this.#dispatchRate.recordDispatch(this.#queue.isLate(request) ? lateRank : request.tier, now);
 			this.#queue.remove(request);
 			const load = this.#loads.get(selected.endpointId)!;
-			load.recordDispatch();
+			load.recordDispatch(now);
 			if (this.options.restrictions.isLimited(load.record)) {
 				this.options.restrictions.takePermit(load.record);
 			}
@@ -354,6 +359,10 @@
 				continue;
 			}
 
+			if (request.answeredSince !== undefined && !(load.hasAnsweredSince(request.answeredSince, now) ?? this.#hasAnyAnsweredSince(request.answeredSince, request.excluded, now))) {
+				continue;
+			}
+
 			const inFlight = load.inFlight + this.options.peerInFlightAt(record.id);
 			if (inFlight < record.slots * maximumPerSlot) {
 				candidates.push({
@@ -370,6 +379,18 @@
 		return candidates;
 	}
 
+	/** Whether any of the endpoints that have something to answer has sent something since; also when there is none. */
+	#hasAnyAnsweredSince(at: Milliseconds, excluded: ReadonlySet<string>, now: Milliseconds): boolean {
+		const answers = [...this.#loads.values()].filter(({record}) => !excluded.has(record.id)).map(load => load.hasAnsweredSince(at, now)).filter(answer => answer !== undefined);
+		return answers.length === 0 || answers.includes(true);
+	}
+
+	/** Whether all endpoints are silent, as sound ones are for a moment. Requests that wait for them don't show a low rate of service. */
+	#areAllBrieflySilent(now: Milliseconds): boolean {
+		const serving = [...this.#loads.values()].filter(({record}) => !this.#isLeaving(record));
+		return serving.length > 0 && serving.every(load => load.isBrieflySilent(now));
+	}
+
 	#ensurePermission(record: EndpointRecord): boolean {
 		const {restrictions} = this.options;
 		return !restrictions.isLimited(record) || restrictions.ensurePermit(record);
--- a/src/gateway/scheduling/types.ts
+++ b/src/gateway/scheduling/types.ts
@@ -43,6 +43,8 @@
 	readonly excluded: ReadonlySet<string>;
 	/** Whether the caller has received a part of the response. */
 	readonly hasBegun: () => boolean;
+	/** If set, endpoints must have sent something since then, or must be idle while not all others are silent. */
+	readonly answeredSince?: Milliseconds;
 	/** @param inFlight known requests of all instances in flight at the endpoint, without this one */
 	readonly dispatch: (endpointId: string, inFlight: number) => void;
 	readonly refuse: (refusal: Refusal) => void;
--- a/src/shared/connector.ts
+++ b/src/shared/connector.ts
@@ -2,6 +2,19 @@
 import type {buildConnector} from 'undici';
 import type {Milliseconds} from './clock.js';
 
+/** No connection was opened in time. Unlike a refusal, this does not show that no process listens. */
+export class ConnectTimeoutError extends Error {
+	static create(timeoutMs: Milliseconds): ConnectTimeoutError {
+		return new ConnectTimeoutError(`no connection within ${timeoutMs} ms`);
+	}
+
+	override readonly name = 'ConnectTimeoutError';
+
+	private constructor(message: string) {
+		super(message);
+	}
+}
+
 export type ConnectorOptions<ConnectingSocket extends Socket> = {
 	readonly timeoutMs: Milliseconds;
 	/** Creates a socket that is not connected yet. */
@@ -18,7 +31,7 @@
 			// After a delay of this process, timers run before it reads that the connection has been opened.
 			setImmediate(() => {
 				if (socket.connecting) {
-					socket.destroy(new Error(`no connection within ${timeoutMs} ms`));
+					socket.destroy(ConnectTimeoutError.create(timeoutMs));
 				}
 			});
 		}, timeoutMs);
--- a/test/gateway/scheduling/endpoint-load.test.ts
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -8,16 +8,16 @@
 
 test('pauses an endpoint after a broken connection, longer with each consecutive failure', t => {
 	const load = createLoad();
-	load.recordDispatch();
+	load.recordDispatch(0);
 	load.recordOutcome('broken', 1000);
 	t.true(load.isPaused(1200));
 	t.false(load.isPaused(1300));
-	load.recordDispatch();
+	load.recordDispatch(0);
 	load.recordOutcome('broken', 2000);
 	t.true(load.isPaused(2400));
-	load.recordDispatch();
+	load.recordDispatch(0);
 	load.recordOutcome('completed', 3000);
-	load.recordDispatch();
+	load.recordDispatch(0);
 	load.recordOutcome('broken', 4000);
 	t.false(load.isPaused(4300));
 });
@@ -25,23 +25,76 @@
 test('an endpoint that fails most requests is failing, one that fails a few is not', t => {
 	const load = createLoad();
 	for (let request = 0; request < 40; request++) {
-		load.recordDispatch();
+		load.recordDispatch(0);
 		load.recordOutcome(request % 7 === 0 ? 'failed' : 'completed', request);
 	}
 
 	t.false(load.isFailing);
 	for (let request = 0; request < 8; request++) {
-		load.recordDispatch();
+		load.recordDispatch(0);
 		load.recordOutcome('failed', 100 + request);
 	}
 
 	t.true(load.isFailing);
 });
 
+// Guards against a sound endpoint that is not used for seconds, because many requests met the same moment of silence.
+test('the requests of one silence pause an endpoint shortly and do not make it failing', t => {
+	const load = createLoad();
+	for (let request = 0; request < 20; request++) {
+		load.recordDispatch(0);
+	}
+
+	for (let request = 0; request < 20; request++) {
+		load.recordOutcome(request % 2 === 0 ? 'unanswered' : 'silent', 50 * request);
+	}
+
+	t.true(load.isPaused(1000));
+	t.false(load.isPaused(1300));
+	t.false(load.isFailing);
+});
+
+test('an endpoint that is heard from after a silence is used at once', t => {
+	const load = createLoad();
+	load.recordDispatch(0);
+	load.recordOutcome('silent', 500);
+	t.true(load.isPaused(600));
+	load.recordHeard(600);
+	t.false(load.isPaused(600));
+});
+
+test('an endpoint that stays silent gets one request at a time, after longer and longer pauses', t => {
+	const load = createLoad();
+	load.recordDispatch(0);
+	load.recordOutcome('unanswered', 400);
+	t.false(load.isPaused(700));
+	load.recordDispatch(700);
+	t.true(load.isPaused(1100));
+	load.recordOutcome('unanswered', 20_400);
+	t.true(load.isPaused(24_000));
+	t.false(load.isPaused(24_500));
+});
+
+test('an endpoint answers when it has sent something lately, and not only again after a pause', t => {
+	const load = createLoad();
+	t.is(load.hasAnsweredSince(0, 0), undefined);
+	load.recordDispatch(0);
+	t.false(load.hasAnsweredSince(0, 100));
+	for (const at of [100, 200, 300]) {
+		load.recordHeard(at);
+	}
+
+	t.true(load.hasAnsweredSince(300, 400));
+	t.false(load.hasAnsweredSince(301, 400));
+	load.recordHeard(2000);
+	t.false(load.hasAnsweredSince(1500, 2100));
+	t.true(load.hasAnsweredSince(1500, 2200));
+});
+
 test('cancelled and rejected requests do not affect the failure ratio', t => {
 	const load = createLoad();
 	for (const outcome of ['cancelled', 'rejected'] as const) {
-		load.recordDispatch();
+		load.recordDispatch(0);
 		load.recordOutcome(outcome, 0);
 	}
 
@@ -60,7 +113,7 @@
 
 test('a restart of the endpoint clears earlier failures', t => {
 	const load = createLoad();
-	load.recordDispatch();
+	load.recordDispatch(0);
 	load.recordOutcome('broken', 0);
 	load.update(createEndpoint({startedAt: 2000, coldRemainingMs: 3000}), 100);
 	t.false(load.isPaused(110));
@@ -71,7 +124,7 @@
 function mayHaveRestarted(dispatched: number, ends: ReadonlyArray<readonly [outcome: AttemptOutcome, at: number]>): boolean {
 	const load = createLoad();
 	for (let request = 0; request < dispatched; request++) {
-		load.recordDispatch();
+		load.recordDispatch(0);
 	}
 
 	return ends.map(([outcome, at]) => load.recordOutcome(outcome, at)).at(-1)!;
@@ -80,6 +133,9 @@
 const restarts: Array<[string, number, ReadonlyArray<readonly [AttemptOutcome, number]>, boolean]> = [
 	['all connections break', 3, [['broken', 0], ['broken', 1], ['broken', 2]], true],
 	['no connection can be opened', 3, [['unreachable', 0]], true],
+	['no connection is answered for a moment', 3, [['unanswered', 0], ['unanswered', 1500]], false],
+	['no connection is answered for longer than by a sound endpoint', 3, [['unanswered', 0], ['unanswered', 2500]], true],
+	['no response arrives for long', 3, [['silent', 0], ['silent', 2500]], false],
 	['one response is lost while other requests are in flight', 3, [['broken', 0]], false],
 	['the connection of the only request breaks', 1, [['broken', 0]], true],
 	['the last request is completed', 2, [['broken', 0], ['completed', 1]], false],
