--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -328,9 +328,12 @@
 			&& (receivedIds.has(request.requestId) || request.endedAt - request.sentAt > bounds.stopDropMs)
 			&& isWithoutFaults(history, request.sentAt, request.endedAt)
 			&& !mayBeCut(history, request));
-		return findPlannedWork(history).flatMap(({what, instance, at, sentBefore, endedBefore}) => cut
-			.filter(request => (instance === undefined || request.instance === instance) && request.endedAt > at && request.endedAt <= endedBefore && request.sentAt < sentBefore)
-			.map(request => `${request.requestId} was cut at ${request.instance} ${Math.round(request.endedAt - at)} ms after ${what}`));
+		const plannedWork = findPlannedWork(history);
+		return cut.flatMap(request => {
+			const work = plannedWork.find(({instance, at, sentBefore, endedBefore}) => (instance === undefined || request.instance === instance)
+				&& request.endedAt > at && request.endedAt <= endedBefore && request.sentAt < sentBefore);
+			return work === undefined ? [] : [`${request.requestId} was cut at ${request.instance} ${Math.round(request.endedAt - work.at)} ms after ${work.what}`];
+		});
 	},
 	'left-caller-cancelled'(history) {
 		const disconnected = findExecutedRequests(history).filter(({request, received}) => isStream(request.kind) && request.disconnectedAt !== undefined
