--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -10,7 +10,8 @@
 function createRequest(values: Partial<RequestRecord> = {}): RequestRecord {
 	const requestId = values.requestId ?? 'c1';
 	return {
-		requestId, kind: 'lookup', instance: 'i1', key: 'k', workspace: 'wick', promptParts: [], units: 10, deadlineMs: 4000, sentAt: 10_000, endedAt: 10_100, status: 200, body: `answer to ${requestId}`, isComplete: true, ...values,
+		requestId, kind: 'lookup', instance: 'i1', key: 'k', workspace: 'wick', promptParts: [], units: 10, deadlineMs: 4000,
+		sentAt: 10_000, endedAt: 10_100, status: 200, body: `answer to ${requestId}`, isComplete: true, ...values,
 	};
 }
 
