--- a/standins/platform-documents.ts
+++ b/standins/platform-documents.ts
@@ -40,6 +40,12 @@
 	};
 }
 
+/** A configuration whose routes have a target that waiting requests reach only after the end of a stop, so that the scheduler does not give them up before. */
+export function createPatientConfigurationDocument(values: Record<string, unknown> = {}): Record<string, unknown> {
+	const document = createConfigurationDocument(values);
+	return {...document, routes: (document.routes as Array<Record<string, unknown>>).map(route => ({...route, target_latency_ms: 12_000}))};
+}
+
 /** The record that an endpoint writes of itself. */
 export function createEndpointDocument(values: Record<string, unknown> = {}): Record<string, unknown> {
 	return {
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {createConfigurationDocument} from '../../standins/platform-documents.js';
+import {createPatientConfigurationDocument} from '../../standins/platform-documents.js';
 import type {CallerResponse} from '../../standins/platform-caller.js';
 import {blockThread} from '../fixtures/block-thread.js';
 import {call} from '../fixtures/gateway/caller.js';
@@ -43,6 +43,7 @@
 async function startSite(t: ExecutionContext, graceMs = stopGraceMs): Promise<{site: GatewaySite; gateway: Gateway}> {
 	const site = await GatewaySite.start();
 	t.teardown(async () => site.dispose());
+	site.store.put('op/config', createPatientConfigurationDocument({version: 2}));
 	return {site, gateway: await site.addGateway({bounds: {...bounds, stopGraceMs: graceMs}})};
 }
 
@@ -185,16 +186,16 @@
 	const {site, gateway} = await startSite(t);
 	const send = createCaller(t, gateway);
 	const {busy} = await addBusyEndpoint(site, gateway, send);
-	const raw = await addRawEndpoint(t, site, gateway, ({requestId, number, socket}) => {
-		if (number === 1) {
-			socket.resetAndDestroy();
-		} else {
-			socket.write(rejection(requestId));
-		}
+	const requests: RawRequest[] = [];
+	const raw = await addRawEndpoint(t, site, gateway, request => {
+		requests.push(request);
 	});
 	const broken = send({path: '/lookups/1'});
-	await until(() => gateway.memoryLog.linesOf('attempt-failed').length === 1);
+	await until(() => requests.length === 1);
 	const rejected = send(booking);
+	await until(() => requests.length === 2);
+	requests[0]!.socket.resetAndDestroy();
+	requests[1]!.socket.write(rejection(requests[1]!.requestId));
 	await until(() => gateway.memoryLog.linesOf('attempt-failed').length === 2);
 	await stopAndExit(gateway);
 	t.like(await broken, {status: 502, isComplete: true, failure: 'endpointFailed'});
@@ -271,7 +272,7 @@
 	void gateway.process.stop();
 	await delay(lateInGraceMs);
 	gateway.process.reload(gateway.settings);
-	site.store.put('op/config', createConfigurationDocument({version: 2}));
+	site.store.put('op/config', createPatientConfigurationDocument({version: 3}));
 	const later = await site.addEndpoint({id: 'later', isEngine: false});
 	await until(() => gateway.memoryLog.linesOf('endpoint-added').length === 2);
 	t.deepEqual(await waiting, refused);
--- a/test/platform/gateway-program.test.ts
+++ b/test/platform/gateway-program.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout} from 'node:timers/promises';
 import anyTest, {type ExecutionContext, type TestFn} from 'ava';
 import {decodeSettings} from '../../platform/settings.js';
-import {createConfigurationDocument, createSettingsDocument} from '../../standins/platform-documents.js';
+import {createConfigurationDocument, createPatientConfigurationDocument, createSettingsDocument} from '../../standins/platform-documents.js';
 import {PlatformEndpoint} from '../../standins/platform-endpoint.js';
 import {PlatformStore} from '../../standins/platform-store.js';
 import {call} from '../fixtures/gateway/caller.js';
@@ -109,6 +109,7 @@
 // Guards against a process that exits with requests that it could have answered, whatever happens during its grace period.
 test('each request is answered before a stopping process exits, with repeated signals, new settings and a configuration meanwhile', async t => {
 	const {store, endpoint} = await startSite(t, false, async () => setTimeout(60_000, undefined, {ref: false}));
+	store.put('op/config', createPatientConfigurationDocument({version: 2}));
 	// eslint-disable-next-line @typescript-eslint/naming-convention -- the platform's name
 	const settings = createSettings(store, [], {grace_s: 6});
 	const program = await startProgram(t, settings);
@@ -128,7 +129,7 @@
 	const limits = {
 		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 1000, idle_timeout_ms: 1000, // eslint-disable-line @typescript-eslint/naming-convention
 	};
-	store.put('op/config', createConfigurationDocument({version: 2, limits}));
+	store.put('op/config', createPatientConfigurationDocument({version: 3, limits}));
 	t.like(await waiting, {status: 503, isComplete: true});
 	for (const response of await Promise.all(running)) {
 		t.like(response, {status: 504, isComplete: true});
