Leave a moment of silence out of the measured speed of an endpoint

Cause, by reading: the average interval between the events of a stream included the silence, so its endpoint seemed several times slower, and placement prefers faster ones until a new stream measures it.

Change: pauses of more than a second do not count in the average.

--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -9,6 +9,9 @@
 /** Fewest events of a stream from which an average interval between events is computed. */
 const minimumEventsForInterval = 4;
 
+/** Longest pause between events that counts in their average interval. An engine that processes a long prompt pauses for less. */
+const maximumIntervalMs: Milliseconds = 1000;
+
 /** Largest response body. The body of a plain service is buffered until it is complete; the longest streams have about 200,000 bytes. */
 const maximumBodyBytes = 4_194_304;
 
@@ -72,6 +75,9 @@
 	#lastProgressAt: Milliseconds;
 	#firstEventAt: Milliseconds | undefined;
 	#eventCount = 0;
+	/** Pauses that do not count in the average interval, and their total duration. */
+	#pauseCount = 0;
+	#pausedMs: Milliseconds = 0;
 	#isStalled = false;
 
 	private constructor(private readonly options: AttemptOptions) {
@@ -155,7 +161,7 @@
 
 	/** Average time between the events of the stream, if it had enough of them. */
 	get eventIntervalMs(): Milliseconds | undefined {
-		return this.#eventCount >= minimumEventsForInterval ? (this.#lastProgressAt - this.#firstEventAt!) / (this.#eventCount - 1) : undefined;
+		return this.#eventCount - this.#pauseCount >= minimumEventsForInterval ? (this.#lastProgressAt - this.#firstEventAt! - this.#pausedMs) / (this.#eventCount - this.#pauseCount - 1) : undefined;
 	}
 
 	/** Bytes of a complete response that were not forwarded before its end: the whole body, or what follows the last event of a stream. */
@@ -225,6 +231,12 @@
 		}
 
 		if (completeEvents.lastEventId !== undefined || !this.isResumable) {
+			const intervalMs = now - this.#lastProgressAt;
+			if (this.#eventCount > 0 && intervalMs > maximumIntervalMs) {
+				this.#pauseCount++;
+				this.#pausedMs += intervalMs;
+			}
+
 			this.#lastProgressAt = now;
 		}
 
