--- a/test/gateway/configuration-changes.test.ts
+++ b/test/gateway/configuration-changes.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {Agent} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
@@ -210,4 +211,12 @@
 		t.is(diary.executedRequestIds.length, 8);
 	});
 }
+
+// Guards against a configuration after which each request of a workspace is refused because its name can't be written into a header.
+test.serial('requests of a workspace whose name has characters beyond Latin-1 are served', async t => {
+	const {diary, gateway, configure} = await startSite(t);
+	await configure({tenants: [{...tenant, name: 'Inbhir Nis – 因弗内斯'}]});
+	t.like(await send(gateway, '/bookings/1'), {status: 200, isComplete: true});
+	t.is(Buffer.from(diary.receivedRequests.at(-1)!.headers['x-tenant'] as string, 'latin1').toString('utf8'), 'Inbhir Nis – 因弗内斯');
+});
 /* eslint-enable @typescript-eslint/naming-convention */
