End a stop in time although callers connect all the time

A stopping process looks for requests that have arrived before it judges whether a stage is over. While each round of the event loop accepts a connection, such a look takes up to a second, more than the time that is left between the end of the requests and the kill. So a process to which callers keep connecting (its availability zone has no other instance in rotation) was killed with open requests, which got no answer.

The look now ends with the stage. It still takes the few rounds in which what had arrived before is read.

--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -151,9 +151,9 @@
 		this.#server.closeIdleConnections();
 	}
 
-	/** Resolves when connections and requests that have already arrived have been accepted and read. */
-	async readArrivedRequests(): Promise<void> {
-		await readArrivedRequests(this.#server);
+	/** Resolves when connections and requests that have already arrived have been accepted and read, or after the maximum time. */
+	async readArrivedRequests(maximumMs?: Milliseconds): Promise<void> {
+		await readArrivedRequests(this.#server, maximumMs);
 	}
 
 	/** Stops accepting and closes connections without a request, once the requests that have arrived are read. */
--- a/src/gateway/stopping/planned-stop.ts
+++ b/src/gateway/stopping/planned-stop.ts
@@ -70,7 +70,7 @@
 		setTimeout(() => {
 			void callerServer.closeIdleConnections();
 		}, Math.max(0, schedule.acceptUntil - clock.now())).unref();
-		await this.#waitUntil(() => clock.now() >= schedule.endRequestsAt || (clock.now() > schedule.listenUntil && callerServer.openRequests === 0));
+		await this.#waitUntil(() => clock.now() > schedule.listenUntil && callerServer.openRequests === 0, schedule.endRequestsAt);
 		if (countRequests() > 0) {
 			log.event('ending-requests', {openRequests: callerServer.openRequests, running: countRequests(), afterMs: afterMs()});
 			endRequests();
@@ -90,16 +90,17 @@
 		});
 		const closedAt = clock.now();
 		log.event('closing', {openRequests: callerServer.openRequests, afterMs: afterMs()});
-		await this.#waitUntil(() => clock.now() >= exitAt || isClosed || (!callerServer.isListening && callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs));
+		await this.#waitUntil(() => isClosed || (!callerServer.isListening && callerServer.openRequests === 0 && clock.now() - closedAt >= lastRequestsMs), exitAt);
 	}
 
-	/** Requests and responses that arrived while this process was busy are read before the condition is judged. */
-	async #waitUntil(isDone: () => boolean): Promise<void> {
+	/** Requests and responses that arrived while this process was busy are read before the condition is judged, but callers that connect all the time don't delay the deadline. */
+	async #waitUntil(isDone: () => boolean, deadlineAt: Milliseconds): Promise<void> {
+		const {clock, callerServer} = this.options;
 		do {
 			// eslint-disable-next-line no-await-in-loop
 			await delay(checkIntervalMs);
 			// eslint-disable-next-line no-await-in-loop
-			await this.options.callerServer.readArrivedRequests();
-		} while (!isDone());
+			await callerServer.readArrivedRequests(Math.max(0, deadlineAt - clock.now()));
+		} while (clock.now() < deadlineAt && !isDone());
 	}
 }
--- a/src/shared/listen.ts
+++ b/src/shared/listen.ts
@@ -31,15 +31,15 @@
 
 const clock = SystemClock.create();
 
-/** Resolves when connections and requests that have already arrived have been accepted and read. A busy process may not have read anything for seconds. */
-export async function readArrivedRequests(server: Server): Promise<void> {
+/** Resolves when connections and requests that have already arrived have been accepted and read, or after the maximum time. A busy process may not have read anything for seconds. */
+export async function readArrivedRequests(server: Server, maximumMs: Milliseconds = maximumReadingMs): Promise<void> {
 	let remainingRounds = readingRounds;
 	const onConnection = () => {
 		remainingRounds = readingRounds;
 	};
 
 	server.on('connection', onConnection);
-	const endsAt = clock.now() + maximumReadingMs;
+	const endsAt = clock.now() + Math.min(maximumMs, maximumReadingMs);
 	for (let round = 0; remainingRounds > 0 && (round < readingRounds || clock.now() < endsAt); round++) {
 		// An immediate runs right after the phase of the event loop that reads, and accepts a single connection.
 		// eslint-disable-next-line no-await-in-loop
