Read a request without a look at each one before it on its connection

A caller that sends many requests on a connection without waiting for the responses kept the process busy: for each head, all open requests of the connection were searched for a response that closes it, and in a stop each response looked for the last one in the same way.

A connection now remembers that a close was announced, and its last response.

Test: caller-closing, "reading a request does not look at each request before it on its connection" (500 requests); failed before with 124,750 look-ups, passes now.

--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -34,6 +34,9 @@
 	idleSince: Milliseconds;
 	/** Time until which the head that is arriving must be complete. */
 	headDueAt: Milliseconds | undefined;
+	lastResponse: ServerResponse | undefined;
+	/** Whether the head of a response says, or will say, that it is the last one. */
+	isCloseAnnounced: boolean;
 	/** Whether no further request is accepted. */
 	isEnding: boolean;
 	/** What is written after the responses to the open requests. */
@@ -72,7 +75,16 @@
 
 	add(socket: Socket): void {
 		const connection: Connection = {
-			socket, requests: new Set(), requestBytes: 0, announcedTimeoutMs: 0, idleSince: this.options.clock.now(), headDueAt: undefined, isEnding: false, lastBytes: '',
+			socket,
+			requests: new Set(),
+			requestBytes: 0,
+			announcedTimeoutMs: 0,
+			idleSince: this.options.clock.now(),
+			headDueAt: undefined,
+			lastResponse: undefined,
+			isCloseAnnounced: false,
+			isEnding: false,
+			lastBytes: '',
 		};
 		this.#connections.set(socket, connection);
 		// `node:http` calls it after the response that closes the connection, and writes no later one.
@@ -99,12 +111,13 @@
 	addRequest(message: IncomingMessage, response: ServerResponse, onEnd: () => void): boolean {
 		const {socket} = message;
 		const connection = this.#connections.get(socket);
-		if (connection === undefined || connection.isEnding || [...connection.requests].some(request => request.response.getHeader('connection') === 'close')) {
+		if (connection === undefined || connection.isEnding || connection.isCloseAnnounced) {
 			return false;
 		}
 
 		const request: OpenRequest = {response, onEnd};
 		connection.requests.add(request);
+		connection.lastResponse = response;
 		connection.headDueAt = undefined;
 		connection.announcedTimeoutMs = this.options.limits().idleTimeoutMs;
 		message.on('end', () => {
@@ -119,7 +132,16 @@
 	/** Whether no other request has been read on the connection since. */
 	isLastRequest(response: ServerResponse): boolean {
 		const connection = this.#connections.get(response.req.socket);
-		return connection === undefined || [...connection.requests].at(-1)?.response === response;
+		return connection === undefined || connection.lastResponse === response;
+	}
+
+	/** Makes the response the last one on its connection. Its head must not have been written. */
+	announceClose(response: ServerResponse): void {
+		response.setHeader('connection', 'close');
+		const connection = this.#connections.get(response.req.socket);
+		if (connection !== undefined) {
+			connection.isCloseAnnounced = true;
+		}
 	}
 
 	/** Whether no further request is accepted on the connection. */
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -206,14 +206,19 @@
 		const arrivedAt = this.options.clock.now();
 		// They stay the same while the request is read.
 		const limits = this.#limits;
-		const callerResponse = HttpResponse.create(response, () => this.#isStopping && this.#connections.isLastRequest(response));
+		const callerResponse = HttpResponse.create(response, {
+			mustClose: () => this.#isStopping && this.#connections.isLastRequest(response),
+			announceClose: () => {
+				this.#connections.announceClose(response);
+			},
+		});
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
 		let hasFailed = false;
 		const fail = (type: ReadingFailure) => {
 			if (!hasFailed) {
 				hasFailed = true;
-				response.setHeader('connection', 'close');
+				this.#connections.announceClose(response);
 				callerResponse.fail({type});
 			}
 		};
--- a/src/gateway/callers/http-response.ts
+++ b/src/gateway/callers/http-response.ts
@@ -5,15 +5,22 @@
 /** Maximum bytes that are buffered for a caller that does not read; beyond it the connection is closed. The longest streams have about 40,000 bytes. */
 const maximumPendingBytes = 1_048_576;
 
+export type HttpResponseOptions = {
+	/** Whether the response must be the last one on its connection. */
+	readonly mustClose: () => boolean;
+	/** Called before the head of a response that is the last one on its connection is written. */
+	readonly announceClose: () => void;
+};
+
 /** The HTTP response to a caller. */
 export class HttpResponse implements CallerResponse {
-	static create(response: ServerResponse, mustClose: () => boolean): HttpResponse {
-		return new HttpResponse(response, mustClose);
+	static create(response: ServerResponse, options: HttpResponseOptions): HttpResponse {
+		return new HttpResponse(response, options);
 	}
 
 	#isFramed = true;
 
-	private constructor(private readonly response: ServerResponse, private readonly mustClose: () => boolean) {}
+	private constructor(private readonly response: ServerResponse, private readonly options: HttpResponseOptions) {}
 
 	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void {
 		this.#closeIfRequired();
@@ -21,7 +28,7 @@
 		if (!isFramed) {
 			// Without this header, node:http ends the response by closing its connection.
 			this.response.removeHeader('transfer-encoding');
-			this.response.setHeader('connection', 'close');
+			this.options.announceClose();
 		}
 
 		this.response.writeHead(status, headers);
@@ -67,8 +74,8 @@
 	}
 
 	#closeIfRequired(): void {
-		if (this.mustClose()) {
-			this.response.setHeader('connection', 'close');
+		if (this.options.mustClose()) {
+			this.options.announceClose();
 		}
 	}
 }
--- a/test/gateway/callers/caller-closing.test.ts
+++ b/test/gateway/callers/caller-closing.test.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import test from 'ava';
 import type {ReceivedRequest} from '../../../src/gateway/callers/caller-server.js';
@@ -192,3 +193,27 @@
 	t.is(fixture.server.openRequests, 0);
 	t.deepEqual(disconnected, [1, 2, 3]);
 });
+
+// Guards against a single connection that keeps the process busy for seconds.
+test('reading a request does not look at each request before it on its connection', async t => {
+	const count = 500;
+	const path = '/many';
+	let lookUps = 0;
+	const {getHeader} = ServerResponse.prototype;
+	t.teardown(() => {
+		ServerResponse.prototype.getHeader = getHeader;
+	});
+	ServerResponse.prototype.getHeader = function (this: ServerResponse, name) {
+		lookUps += this.req.url === path ? 1 : 0;
+		return getHeader.call(this, name);
+	};
+
+	const fixture = await startCallerServer(t, {}, () => {
+		// No response, so that all requests stay open.
+	});
+	const caller = await RawCaller.connect(fixture.address);
+	caller.write(request.replace('/', path).repeat(count));
+	await until(() => fixture.requests.length === count);
+	caller.socket.destroy();
+	t.true(lookUps <= count, `${lookUps} look-ups of header fields`);
+});
