Separate from the forwarding of a request how a stalled stream moves and what attempts show about crashes

Cause: forward-task.ts had grown to 596 lines with four concerns.

Change: stream-move.ts waits for a slot at another endpoint, crash-observations.ts records survivals, breaks and short responses. No change of behaviour; 185 tests of forwarding, silent endpoints, late breaks and planned stops pass.

--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -6,9 +6,11 @@
 import {refusalReasons, type Refusal, type WaitingRequest} from '../scheduling/types.js';
 import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
 import {Attempt, responseKinds} from './attempt.js';
+import {CrashObservations} from './crash-observations.js';
 import {
 	Exchange, isUnsent, type ExchangeEnd, type ResponseHead,
 } from './exchange.js';
+import {StreamMove} from './stream-move.js';
 import type {
 	CallerResponse, ForwardContext, ForwardRequest, ForwardResult,
 } from './types.js';
@@ -41,10 +43,8 @@
 	/** Ids of endpoints that may have run the request. */
 	readonly #possiblyRunBy = new Set<string>();
 	#attempt: Attempt | undefined;
-	/** Waits for a slot at another endpoint while a stalled stream goes on where it is. */
-	#waitingMove: WaitingRequest | undefined;
-	/** Attempts that the endpoint survived. */
-	readonly #survived = new WeakSet<Attempt>();
+	readonly #streamMove: StreamMove;
+	readonly #crashObservations: CrashObservations;
 	#sendCount = 0;
 	#isHeadSent = false;
 	/** Whether the caller's response ends with its connection. */
@@ -60,6 +60,13 @@
 		this.#deadlineAt = arrivedAt + Math.min(metadata.remainingMs ?? Infinity, route.timeoutMs);
 		this.#lastEventId = metadata.lastEventId;
 		this.#waitingRequest = this.#createWaitingRequest(arrivedAt, route.targetLatencyMs);
+		this.#streamMove = StreamMove.create({
+			scheduler: context.scheduler,
+			continueAt: (endpointId, inFlight) => this.#continueStalled(endpointId, inFlight),
+		});
+		this.#crashObservations = CrashObservations.create({
+			promptParts: request.promptParts, containment: context.containment, findEndpoint: id => context.findEndpoint(id),
+		});
 	}
 
 	get requestId(): string {
@@ -104,7 +111,7 @@
 		}
 
 		// Only here: data and breaks that a busy process reads late say nothing about the time between them.
-		this.#recordSurvival(attempt, now);
+		this.#crashObservations.recordSurvival(attempt, now);
 		if (now >= this.#deadlineAt + deadlineMarginMs) {
 			this.#attempt = undefined;
 			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled);
@@ -116,7 +123,7 @@
 		} else if (this.#isStalled(attempt, now)) {
 			this.#requestMove(attempt, now);
 		} else {
-			this.#withdrawMove();
+			this.#streamMove.withdraw();
 		}
 	}
 
@@ -194,49 +201,35 @@
 		return route.isResumable && attempt.eventCount > 0 && now - attempt.lastProgressAt > stallTimeoutRatio * streamTimeoutMs(route);
 	}
 
-	/** Queues a stalled stream for another endpoint that answers. The attempt goes on, because its endpoint may be sound, until there is a free slot. */
+	/** Looks for another endpoint that answers for a stalled stream. The attempt goes on until one has a free slot. */
 	#requestMove(attempt: Attempt, now: Milliseconds): void {
 		const {context, request: {route, service}} = this;
 		const waiting = this.#createWaitingRequest(this.#lastEventAt, route.eventGapTargetMs);
-		if (this.#waitingMove !== undefined || now > waiting.latestDispatchAt || !this.#mayRetry(attempt, now) || !context.retryBudgets.canTake(service, context.memberCount(), now)) {
-			return;
+		if (!this.#streamMove.isWaiting && now <= waiting.latestDispatchAt && this.#mayRetry(attempt, now) && context.retryBudgets.canTake(service, context.memberCount(), now)) {
+			this.#streamMove.wait({
+				...waiting,
+				excluded: new Set([...this.#excluded, attempt.endpointId]),
+				answeredSince: now - (answeredRatio * streamTimeoutMs(route)),
+			});
 		}
-
-		this.#waitingMove = {
-			...waiting,
-			excluded: new Set([...this.#excluded, attempt.endpointId]),
-			answeredSince: now - (answeredRatio * streamTimeoutMs(route)),
-			dispatch: (endpointId, inFlight) => {
-				this.#move(attempt, endpointId, inFlight);
-			},
-			refuse: () => {
-				this.#waitingMove = undefined;
-			},
-		};
-		context.scheduler.submit(this.#waitingMove);
 	}
 
-	/** Continues a stalled stream at the endpoint that has a free slot for it. */
-	#move(attempt: Attempt, endpointId: string, inFlight: number): void {
-		const {clock, containment, scheduler} = this.context;
+	/** Continues a stalled stream at another endpoint. Returns false if it stays where it is. */
+	#continueStalled(endpointId: string, inFlight: number): boolean {
+		const {clock, containment} = this.context;
 		const now = clock.now();
-		this.#waitingMove = undefined;
-		if (this.#attempt === attempt && this.#isStalled(attempt, now) && containment.withholdAdmitted(this.request.promptParts) === undefined && this.#takeRetryBudget(now)) {
-			attempt.cancelAsStalled(now - attempt.lastProgressAt);
-			if (!this.#isEnded) {
-				this.#dispatch(endpointId, inFlight);
-				return;
-			}
+		const attempt = this.#attempt;
+		if (attempt === undefined || !this.#isStalled(attempt, now) || containment.withholdAdmitted(this.request.promptParts) !== undefined || !this.#takeRetryBudget(now)) {
+			return false;
 		}
 
-		scheduler.recordOutcome(endpointId, attemptOutcomes.cancelled);
-	}
-
-	#withdrawMove(): void {
-		if (this.#waitingMove !== undefined) {
-			this.context.scheduler.withdraw(this.#waitingMove);
-			this.#waitingMove = undefined;
+		attempt.cancelAsStalled(now - attempt.lastProgressAt);
+		if (this.#isEnded) {
+			return false;
 		}
+
+		this.#dispatch(endpointId, inFlight);
+		return true;
 	}
 
 	/**
@@ -387,24 +380,8 @@
 	}
 
 	#recordAbandoned(attempt: Attempt): void {
-		const endpoint = this.context.findEndpoint(attempt.endpointId);
-		if (endpoint !== undefined && this.#possiblyRunBy.has(endpoint.id) && !this.#survived.has(attempt)) {
-			this.context.containment.recordAbandoned(endpoint, this.request.promptParts);
-		}
-	}
-
-	#recordSurvival(attempt: Attempt, now: Milliseconds): void {
-		if (!this.#survived.has(attempt) && attempt.hasSurvived(now)) {
-			this.#survived.add(attempt);
-			this.context.containment.recordSurvival(this.request.promptParts);
-		}
-	}
-
-	/** Records a whole response that ended too early to be a survival: its endpoint may still crash. */
-	#recordShortResponse(attempt: Attempt, now: Milliseconds, outcome: AttemptOutcome): void {
-		const endpoint = this.context.findEndpoint(attempt.endpointId);
-		if (endpoint !== undefined && !this.#survived.has(attempt) && attempt.isAnswered(outcome)) {
-			this.context.containment.recordShortResponse(endpoint, this.request.promptParts, attempt.crashesUntil(now));
+		if (this.#possiblyRunBy.has(attempt.endpointId)) {
+			this.#crashObservations.recordAbandoned(attempt);
 		}
 	}
 
@@ -423,7 +400,7 @@
 		}
 
 		this.#attempt = undefined;
-		this.#withdrawMove();
+		this.#streamMove.withdraw();
 		const outcome = attempt.outcome(end);
 		const recordOutcome = () => {
 			this.context.scheduler.recordOutcome(attempt.endpointId, outcome, {
@@ -459,15 +436,14 @@
 			this.#possiblyRunBy.delete(attempt.endpointId);
 		}
 
-		this.#recordShortResponse(attempt, now, outcome);
+		this.#crashObservations.recordShortResponse(attempt, now, outcome);
 		if (outcome === attemptOutcomes.completed) {
 			this.#finish(attempt);
 			return;
 		}
 
-		const endpoint = this.context.findEndpoint(attempt.endpointId);
-		if (outcome === attemptOutcomes.broken && endpoint !== undefined && !this.#survived.has(attempt)) {
-			this.context.containment.recordBroken(endpoint, this.request.promptParts);
+		if (outcome === attemptOutcomes.broken) {
+			this.#crashObservations.recordBroken(attempt);
 		}
 
 		this.context.log.event('attempt-failed', {
@@ -590,7 +566,7 @@
 
 	#end(result: ForwardResult): void {
 		this.#isEnded = true;
-		this.#withdrawMove();
+		this.#streamMove.withdraw();
 		this.context.onEnd(result);
 	}
 }
