Read everything when the client of the store holds another configuration than the confirmed one

Cause: reads overlap. When the response to an earlier one arrives last, the state ignores it, but the client of the store keeps the older configuration that it brought. As long as another instance confirms the configuration of the state, only the records are read, with the older configuration attached; they were dropped each time, counted as successful, and nothing ended that but the next configuration.

Change: such a read is followed by one of everything, which brings both to the same version.

Test: 'everything is read when the configuration that was read last is not the confirmed one' fails before (the state is never confirmed), passes now; 60 tests of the folder pass.

--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -184,8 +184,9 @@
 			const receivedAt = clock.now();
 			this.#recordSuccess(receivedAt, receivedAt - sentAt);
 			onRead('read', receivedAt - sentAt);
-			// A read that ended meanwhile may have brought another configuration.
 			if (confirmed !== undefined && snapshot.configurationDigest !== confirmed.digest) {
+				// The late response to an earlier read has replaced the configuration that the client holds.
+				await this.#read();
 				return;
 			}
 
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -327,6 +327,23 @@
 	t.deepEqual(changes.map(({kind}) => kind), ['configuration']);
 });
 
+// Guards against an instance that never confirms its state again, because the late response to an earlier read brought an older configuration.
+test('everything is read when the configuration that was read last is not the confirmed one', async t => {
+	let reads = 0;
+	const {reader, state} = createReader(t, {
+		async read() {
+			reads++;
+			return reads === 1 ? createSnapshot() : createSnapshot({endpoints: [createEndpoint()], digest: 'changed'});
+		},
+		async readRecords() {
+			return createSnapshot({endpoints: [createEndpoint()], digest: 'changed', configurationDigest: 'older'});
+		},
+	}, {findReader: () => '10.0.0.2', ask: async () => createConfirmation({digest: 'changed', ageMs: 20}), changeBoundMs: 4000});
+	reader.start();
+	await Promise.race([until(() => state.digest === 'changed'), delay(4000)]);
+	t.is(state.digest, 'changed');
+});
+
 // Guards against a state that is dated later than the confirmation of its configuration, which would let a removed key run.
 test('a state whose records were read is dated by the older confirmation of its configuration', async t => {
 	const dates: number[] = [];
