--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -110,7 +110,7 @@
 			return;
 		}
 
-		// Only here: data and breaks that a busy process reads late say nothing about the time between them.
+		// Survivals are judged only here, because a busy process reads the data and the break of a connection late.
 		this.#crashObservations.recordSurvival(attempt, now);
 		if (now >= this.#deadlineAt + deadlineMarginMs) {
 			this.#attempt = undefined;
--- a/src/gateway/quarantine/culprits.ts
+++ b/src/gateway/quarantine/culprits.ts
@@ -40,7 +40,7 @@
 /** Time in which all instances report their requests at an endpoint that crashed, those with a short response last. */
 export const settleMs: Milliseconds = 500;
 
-/** Crashes without a convicted part, under a part that was in all its crashes, that show that the other one is at fault. */
+/** Crashes without a convicted part after which another part, which was in all of its crashes and in these, is at fault in its place. */
 const supersedingCrashes = 2;
 
 /** Crashes beyond the required ones after which parts are convicted one by one although the crashes don't distinguish them. */
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -21,7 +21,7 @@
 /** Sound endpoints are silent for less than this. One that has answered no connection for longer may have been restarted. */
 const soundSilenceMs: Milliseconds = 2000;
 
-/** Pause in what an endpoint sends after which it counts as answering only when it has sent for some time again: endpoints that were silent together go on together. */
+/** An endpoint that has sent nothing for `heardPauseMs` counts as answering only `heardAgainMs` after it has begun again, because endpoints that were silent together go on together. */
 const heardPauseMs: Milliseconds = 1000;
 const heardAgainMs: Milliseconds = 200;
 
