--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -148,8 +148,13 @@
 			return;
 		}
 
+		const sentAt = this.#attempt?.sentAt;
 		this.#abandon(new Error('the caller has disconnected'));
-		this.#end({outcome: 'caller-left', mayHaveRun: this.#possiblyRunBy.size > 0});
+		this.#end({
+			outcome: 'caller-left',
+			mayHaveRun: this.#possiblyRunBy.size > 0,
+			disconnectedAfterMs: sentAt === undefined ? undefined : this.context.clock.now() - sentAt,
+		});
 	}
 
 	/** Answers the request because the process ends. */
@@ -298,6 +303,7 @@
 			running: inFlight,
 			slots: endpoint.slots,
 			confirmedAgeMs: context.confirmedAgeMs(),
+			unreadMs: Math.round(context.unreadMs()),
 			waitedMs: Math.round(now - request.arrivedAt),
 			remainingMs: Math.round(this.#deadlineAt - now),
 			version: request.configurationVersion,
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -49,6 +49,8 @@
 	readonly mayHaveRun: boolean;
 	/** Time from the arrival of the request to its response or first event. */
 	readonly firstResponseMs?: Milliseconds;
+	/** Time from the dispatch of the current attempt until its caller disconnected. */
+	readonly disconnectedAfterMs?: Milliseconds;
 };
 
 /** Dependencies of `ForwardTask`. */
@@ -62,6 +64,8 @@
 	readonly memberCount: () => number;
 	/** Age of the store read that confirmed the configuration and the endpoints. */
 	readonly confirmedAgeMs: () => Milliseconds | undefined;
+	/** Longest time for which a caller's disconnect may have been unread. */
+	readonly unreadMs: () => Milliseconds;
 	/** The requests a second that an endpoint takes from all instances together, if it limits them. */
 	readonly findLimit: (endpoint: EndpointRecord) => LimitStatement | undefined;
 	readonly findEndpoint: (id: string) => EndpointRecord | undefined;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -25,6 +25,7 @@
 import type {Protocol} from './protocol.js';
 import {ServiceScheduler} from './scheduling/service-scheduler.js';
 import {ServiceSchedulers} from './scheduling/service-schedulers.js';
+import {ReadingProgress} from './reading-progress.js';
 import type {InstanceSettings} from './settings.js';
 import {ConfirmationTask} from './site/confirmation-task.js';
 import {selectReader} from './site/reader-selection.js';
@@ -87,6 +88,7 @@
 	readonly #restrictions: StatedRestrictions;
 	readonly #tasks = new Set<ForwardTask>();
 	readonly #lateTickDetector = LateTickDetector.create(checkIntervalMs);
+	readonly #readingProgress: ReadingProgress;
 	readonly #startedAt: Milliseconds;
 	readonly #plannedStop: PlannedStop;
 	#wasReady = false;
@@ -94,6 +96,7 @@
 	private constructor(private readonly options: GatewayProcessOptions) {
 		const {settings, clock, freshnessClock, log, source} = options;
 		this.#startedAt = clock.now();
+		this.#readingProgress = ReadingProgress.create(clock);
 		this.#peers = PeerGroup.create({ownHost: settings.host, availabilityZone: settings.availabilityZone, startedAt: this.#startedAt});
 		this.#peers.setSeedHosts(settings.seedHosts);
 		this.#quotas = WorkspaceQuotas.create({bounds: settings.bounds, now: this.#startedAt});
@@ -338,6 +341,7 @@
 			retryBudgets: this.#retryBudgets,
 			memberCount: () => this.#peers.isZoned && !this.#peers.knowsMembers(clock.now()) ? Infinity : this.#peers.memberCount,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
+			unreadMs: () => this.#readingProgress.ageMs,
 			findLimit: endpoint => this.#restrictions.findLimit(endpoint),
 			findEndpoint: id => this.#site.endpoints.get(id),
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
@@ -382,11 +386,20 @@
 			&& this.#freshness.allowsForwarding(arrivedAt, this.#site.confirmedAt);
 	}
 
-	#recordResult(task: ForwardTask, tier: number, arrivedAt: Milliseconds, {outcome, status, firstResponseMs}: ForwardResult): void {
+	#recordResult(task: ForwardTask, tier: number, arrivedAt: Milliseconds, {outcome, status, firstResponseMs, disconnectedAfterMs}: ForwardResult): void {
 		this.options.log.event('request-ended', {
-			requestId: task.requestId, outcome, status, firstMs: firstResponseMs === undefined ? undefined : Math.round(firstResponseMs), totalMs: Math.round(this.options.clock.now() - arrivedAt),
+			requestId: task.requestId,
+			outcome,
+			status,
+			firstMs: firstResponseMs === undefined ? undefined : Math.round(firstResponseMs),
+			totalMs: Math.round(this.options.clock.now() - arrivedAt),
+			disconnectedAfterMs: disconnectedAfterMs === undefined ? undefined : Math.round(disconnectedAfterMs),
 		});
 		this.#metrics.recordRequest(task.route.kind, outcome);
+		if (disconnectedAfterMs !== undefined) {
+			this.#metrics.recordDisconnect(disconnectedAfterMs);
+		}
+
 		if (firstResponseMs !== undefined) {
 			this.#metrics.recordFirstResponse(task.route.kind, tier, firstResponseMs);
 		}
@@ -441,6 +454,7 @@
 
 	#runPeriodicChecks(): void {
 		const now = this.options.clock.now();
+		this.#readingProgress.update();
 		if (!this.#lateTickDetector.tick(now)) {
 			// Data that has arrived is read before anything is judged by its absence.
 			setImmediate(() => {
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -6,6 +6,9 @@
 /** Bucket bounds in seconds. The latency targets of the known routes are between 0.1 and 0.5. */
 const latencyBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 2, 4, 8, 15];
 
+/** Bucket bounds in seconds. Callers that were gone at the dispatch are in the lowest ones. */
+const disconnectBuckets = [0.005, 0.05, 0.5, 2, 8];
+
 /** Bucket bounds for the duration of store reads, in seconds. */
 const storeBuckets = [0.002, 0.005, 0.01, 0.05, 0.1, 0.4, 1, 2];
 
@@ -41,6 +44,13 @@
 		registers: [this.#registry],
 	});
 
+	readonly #disconnects = new Histogram({
+		name: 'jackdawfork_disconnect_after_dispatch_seconds',
+		help: 'Time from the dispatch of a request until the disconnect of its caller was read',
+		buckets: disconnectBuckets,
+		registers: [this.#registry],
+	});
+
 	readonly #attempts = new Counter({
 		name: 'jackdawfork_endpoint_attempts_total', help: 'Attempts at endpoints by how they ended', labelNames: ['outcome'], registers: [this.#registry],
 	});
@@ -91,6 +101,10 @@
 		this.#firstResponseLatency.observe({kind, tier}, durationMs / 1000);
 	}
 
+	recordDisconnect(afterDispatchMs: Milliseconds): void {
+		this.#disconnects.observe(afterDispatchMs / 1000);
+	}
+
 	recordAttempt(outcome: string): void {
 		this.#attempts.inc({outcome});
 	}
--- /dev/null
+++ b/src/gateway/reading-progress.ts
@@ -0,0 +1,78 @@
+import type {Clock, Milliseconds} from '../shared/clock.js';
+
+/** Age of what has been read above which callers may have left unnoticed. An idle process reads in each of its periodic checks. */
+const toleratedAgeMs: Milliseconds = 150;
+
+/**
+Tells until when everything that arrived has been read. A process that does not run for a while handles timers and other responses before it reads that a caller has left.
+
+The event loop reads once in a round, and accepts one connection. It runs immediates right after that.
+*/
+export class ReadingProgress {
+	static create(clock: Clock): ReadingProgress {
+		return new ReadingProgress(clock);
+	}
+
+	#readUntil: Milliseconds;
+	#acceptedUntil: Milliseconds;
+	#connections = 0;
+	#callbacks: Array<() => void> = [];
+
+	private constructor(private readonly clock: Clock) {
+		this.#readUntil = clock.now();
+		this.#acceptedUntil = this.#readUntil;
+	}
+
+	/** When all connections were known to be accepted. A connection that is accepted now may have waited since then. */
+	get acceptedUntil(): Milliseconds {
+		return this.#acceptedUntil;
+	}
+
+	/** Longest time for which something on an accepted connection may have been unread. */
+	get ageMs(): Milliseconds {
+		return this.clock.now() - this.#readUntil;
+	}
+
+	/** Whether callers that were present at a time may have left unnoticed. */
+	isLate(presentAt = this.#readUntil): boolean {
+		return this.clock.now() - Math.min(presentAt, this.#readUntil) > toleratedAgeMs;
+	}
+
+	/** Records that a connection was accepted. */
+	recordConnection(): void {
+		this.#connections++;
+	}
+
+	/** Determines the progress anew. Called periodically. */
+	update(): void {
+		this.afterReading(() => undefined);
+	}
+
+	/** Calls back once everything on accepted connections has been read that had arrived before. */
+	afterReading(callback: () => void): void {
+		this.#callbacks.push(callback);
+		if (this.#callbacks.length === 1) {
+			// The current round may have read already.
+			setImmediate(() => {
+				this.#read();
+			});
+		}
+	}
+
+	#read(): void {
+		const callbacks = this.#callbacks;
+		this.#callbacks = [];
+		const startedAt = this.clock.now();
+		const connections = this.#connections;
+		setImmediate(() => {
+			this.#readUntil = startedAt;
+			if (this.#connections === connections) {
+				this.#acceptedUntil = startedAt;
+			}
+
+			for (const callback of callbacks) {
+				callback();
+			}
+		});
+	}
+}
