--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -8,6 +8,7 @@
 import {describeError} from '../../shared/describe-error.js';
 import {closeAfterReading, listen, readArrivedRequests} from '../../shared/listen.js';
 import type {EventLog} from '../observability/event-log.js';
+import type {ReadingProgress} from '../reading-progress.js';
 import type {CallerLimits} from '../site/types.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpResponse} from './http-response.js';
@@ -59,6 +60,7 @@
 	readonly address: SocketAddress;
 	readonly clock: Clock;
 	readonly log: EventLog;
+	readonly readingProgress: ReadingProgress;
 	readonly onRequest: (request: ReceivedRequest) => void;
 };
 
@@ -73,6 +75,8 @@
 	#limits = defaultLimits;
 	#isStopping = false;
 	#openRequests = 0;
+	/** Since when the connections without a request may have waited to be accepted. */
+	readonly #waitingSince = new WeakMap<Socket, Milliseconds>();
 	/** The last request on each connection. */
 	readonly #lastRequests = new WeakMap<Socket, {readonly message: IncomingMessage; readonly fail: (type: ReadingFailure) => void}>();
 
@@ -98,6 +102,8 @@
 		};
 
 		this.#server.on('connection', socket => {
+			options.readingProgress.recordConnection();
+			this.#waitingSince.set(socket, options.readingProgress.acceptedUntil);
 			this.#connections.add(socket);
 		});
 		this.#server.on('close', () => {
@@ -252,23 +258,44 @@
 
 		message.on('end', () => {
 			clearTimeout(bodyTimer);
-			if (hasFailed || response.destroyed || socket.destroyed) {
-				return;
-			}
+			this.#whenCallerIsPresent(socket, () => {
+				if (hasFailed || response.destroyed || socket.destroyed) {
+					return;
+				}
 
-			try {
-				this.options.onRequest({
-					message,
-					body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
-					arrivedAt,
-					response: callerResponse,
-					onDisconnect(callback) {
-						onDisconnect = callback;
-					},
-				});
-			} catch (error) {
-				this.options.log.event('request-error', {reason: describeError(error)});
-				callerResponse.fail({type: 'internalError'});
+				try {
+					this.options.onRequest({
+						message,
+						body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
+						arrivedAt,
+						response: callerResponse,
+						onDisconnect(callback) {
+							onDisconnect = callback;
+						},
+					});
+				} catch (error) {
+					this.options.log.event('request-error', {reason: describeError(error)});
+					callerResponse.fail({type: 'internalError'});
+				}
+			});
+		});
+	}
+
+	/** Calls back for a request that has been read, unless its caller has left. The disconnect of a caller is read after its request. */
+	#whenCallerIsPresent(socket: Socket, callback: () => void): void {
+		const {readingProgress, log} = this.options;
+		const isLate = readingProgress.isLate(this.#waitingSince.get(socket));
+		this.#waitingSince.delete(socket);
+		if (!isLate) {
+			callback();
+			return;
+		}
+
+		readingProgress.afterReading(() => {
+			if (socket.readableEnded || socket.destroyed) {
+				log.event('caller-left-unread', {unreadMs: Math.round(readingProgress.ageMs)});
+			} else {
+				callback();
 			}
 		});
 	}
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -96,7 +96,7 @@
 	private constructor(private readonly options: GatewayProcessOptions) {
 		const {settings, clock, freshnessClock, log, source} = options;
 		this.#startedAt = clock.now();
-		this.#readingProgress = ReadingProgress.create(clock);
+		this.#readingProgress = ReadingProgress.create(clock, log);
 		this.#peers = PeerGroup.create({ownHost: settings.host, availabilityZone: settings.availabilityZone, startedAt: this.#startedAt});
 		this.#peers.setSeedHosts(settings.seedHosts);
 		this.#quotas = WorkspaceQuotas.create({bounds: settings.bounds, now: this.#startedAt});
@@ -156,6 +156,7 @@
 			address: settings.callerAddress,
 			clock,
 			log,
+			readingProgress: this.#readingProgress,
 			onRequest: request => {
 				this.#onRequest(request);
 			},
--- a/src/gateway/reading-progress.ts
+++ b/src/gateway/reading-progress.ts
@@ -1,4 +1,6 @@
 import type {Clock, Milliseconds} from '../shared/clock.js';
+import {describeError} from '../shared/describe-error.js';
+import type {EventLog} from './observability/event-log.js';
 
 /** Age of what has been read above which callers may have left unnoticed. An idle process reads in each of its periodic checks. */
 const toleratedAgeMs: Milliseconds = 150;
@@ -9,8 +11,8 @@
 The event loop reads once in a round, and accepts one connection. It runs immediates right after that.
 */
 export class ReadingProgress {
-	static create(clock: Clock): ReadingProgress {
-		return new ReadingProgress(clock);
+	static create(clock: Clock, log: EventLog): ReadingProgress {
+		return new ReadingProgress(clock, log);
 	}
 
 	#readUntil: Milliseconds;
@@ -18,7 +20,7 @@
 	#connections = 0;
 	#callbacks: Array<() => void> = [];
 
-	private constructor(private readonly clock: Clock) {
+	private constructor(private readonly clock: Clock, private readonly log: EventLog) {
 		this.#readUntil = clock.now();
 		this.#acceptedUntil = this.#readUntil;
 	}
@@ -71,7 +73,11 @@
 			}
 
 			for (const callback of callbacks) {
-				callback();
+				try {
+					callback();
+				} catch (error) {
+					this.log.event('request-error', {reason: describeError(error)});
+				}
 			}
 		});
 	}
--- /dev/null
+++ b/test/gateway/reading-progress.test.ts
@@ -0,0 +1,80 @@
+import {setImmediate as turn} from 'node:timers/promises';
+import test from 'ava';
+import {ReadingProgress} from '../../src/gateway/reading-progress.js';
+import {MemoryLog} from '../fixtures/gateway/memory-log.js';
+import {ManualClock} from '../fixtures/manual-clock.js';
+
+const lateMs = 500;
+
+function createProgress() {
+	const clock = ManualClock.create();
+	const memoryLog = MemoryLog.create(clock);
+	return {clock, memoryLog, progress: ReadingProgress.create(clock, memoryLog.log)};
+}
+
+async function turnRounds(count: number): Promise<void> {
+	for (let round = 0; round < count; round++) {
+		// eslint-disable-next-line no-await-in-loop
+		await turn();
+	}
+}
+
+test('a process that has not read for a while is late until everything that had arrived is read', async t => {
+	const {clock, progress} = createProgress();
+	t.false(progress.isLate());
+	clock.advance(lateMs);
+	t.true(progress.isLate());
+	progress.update();
+	await turnRounds(1);
+	t.true(progress.isLate());
+	await turnRounds(1);
+	t.false(progress.isLate());
+	t.is(progress.ageMs, 0);
+});
+
+// Guards against a connection whose caller left in the backlog, and that is accepted when everything else has been read.
+test('a connection may have waited since the last round in which none was accepted', async t => {
+	const {clock, progress} = createProgress();
+	const {acceptedUntil} = progress;
+	clock.advance(lateMs);
+	progress.update();
+	await turnRounds(1);
+	progress.recordConnection();
+	await turnRounds(1);
+	t.is(progress.acceptedUntil, acceptedUntil);
+	t.false(progress.isLate());
+	t.true(progress.isLate(progress.acceptedUntil));
+	progress.update();
+	await turnRounds(2);
+	t.false(progress.isLate(progress.acceptedUntil));
+});
+
+test('what is added while something is read waits until more is read', async t => {
+	const {progress} = createProgress();
+	const calls: string[] = [];
+	progress.afterReading(() => {
+		calls.push('first');
+	});
+	await turnRounds(1);
+	progress.afterReading(() => {
+		calls.push('second');
+	});
+	await turnRounds(1);
+	t.deepEqual(calls, ['first']);
+	await turnRounds(1);
+	t.deepEqual(calls, ['first', 'second']);
+});
+
+test('an unexpected error of one request does not keep the others from going on', async t => {
+	const {memoryLog, progress} = createProgress();
+	let isCalled = false;
+	progress.afterReading(() => {
+		throw new Error('unexpected');
+	});
+	progress.afterReading(() => {
+		isCalled = true;
+	});
+	await turnRounds(2);
+	t.true(isCalled);
+	t.is(memoryLog.linesOf('request-error').length, 1);
+});
