--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -440,6 +440,7 @@
 		return ServiceScheduler.create({
 			service,
 			clock,
+			readingProgress: this.#readingProgress,
 			coldRateLimiter: this.#coldRateLimiter,
 			availabilityZone: settings.availabilityZone,
 			restrictions: this.#restrictions,
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -1,5 +1,6 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {ColdRateLimiter} from '../limits/cold-rate-limiter.js';
+import type {ReadingProgress} from '../reading-progress.js';
 import type {EndpointRecord, Service} from '../site/types.js';
 import {EndpointLoad, attemptOutcomes, type AttemptOutcome} from './endpoint-load.js';
 import {EventCountEstimator} from './event-count-estimator.js';
@@ -39,6 +40,7 @@
 export type ServiceSchedulerOptions = {
 	readonly service: Service;
 	readonly clock: Clock;
+	readonly readingProgress: Pick<ReadingProgress, 'isLate' | 'afterReading'>;
 	readonly coldRateLimiter: ColdRateLimiter;
 	readonly availabilityZone: string;
 	readonly restrictions: EndpointRestrictions;
@@ -81,6 +83,9 @@
 	readonly #loads = new Map<string, EndpointLoad>();
 	/** Endpoints that were removed while requests of this instance were in flight there. */
 	readonly #removedLoads = new Map<string, EndpointLoad>();
+	/** Requests that were submitted while dispatching was postponed, and the on-time requests ahead of each. */
+	readonly #postponed = new Map<WaitingRequest, number>();
+	#isPostponed = false;
 	#evacuatedZones: ReadonlySet<string> = new Set();
 	#service: Service;
 
@@ -139,7 +144,9 @@
 		const ahead = this.#queue.onTimeAhead(request.tier);
 		this.#queue.add(request);
 		this.dispatchWaiting();
-		if (this.#queue.has(request)) {
+		if (this.#isPostponed) {
+			this.#postponed.set(request, ahead);
+		} else if (this.#queue.has(request)) {
 			this.#refuseIfTooLate(request, this.#expectedWaitMs(request, ahead, now), now);
 		}
 	}
@@ -150,6 +157,7 @@
 
 	/** Removes a request whose caller has disconnected or whose deadline has passed. */
 	withdraw(request: WaitingRequest): boolean {
+		this.#postponed.delete(request);
 		return this.#queue.remove(request);
 	}
 
@@ -181,14 +189,43 @@
 		this.dispatchWaiting();
 	}
 
-	/** Dispatches waiting requests as long as there are free slots. Refuses those that the process can't dispatch before it ends. */
+	/** Dispatches waiting requests as long as there are free slots. Refuses those that the process can't dispatch before it ends. When callers may have left unnoticed, it does so once that has been read. */
 	dispatchWaiting(): void {
-		if (this.#queue.size > 0) {
-			this.#refuseUnacceptable();
-			const now = this.options.clock.now();
-			this.#moveLate(now);
-			this.#dispatchInOrder(now);
-			this.#dispatchRate.recordQueueState(this.#queue.size === 0, now);
+		const {readingProgress} = this.options;
+		if (this.#queue.size === 0 || this.#isPostponed) {
+			return;
+		}
+
+		if (!readingProgress.isLate()) {
+			this.#dispatchNow();
+			return;
+		}
+
+		this.#isPostponed = true;
+		readingProgress.afterReading(() => {
+			this.#isPostponed = false;
+			this.#dispatchPostponed();
+		});
+	}
+
+	#dispatchNow(): void {
+		this.#refuseUnacceptable();
+		const now = this.options.clock.now();
+		this.#moveLate(now);
+		this.#dispatchInOrder(now);
+		this.#dispatchRate.recordQueueState(this.#queue.size === 0, now);
+	}
+
+	/** Dispatches even if the reading took long: a process that always gets too little processor time has to go on. */
+	#dispatchPostponed(): void {
+		const postponed = [...this.#postponed];
+		this.#postponed.clear();
+		this.#dispatchNow();
+		const now = this.options.clock.now();
+		for (const [request, ahead] of postponed) {
+			if (this.#queue.has(request)) {
+				this.#refuseIfTooLate(request, this.#expectedWaitMs(request, ahead, now), now);
+			}
 		}
 	}
 
--- a/test/gateway/scheduling/large-fleet-load.test.ts
+++ b/test/gateway/scheduling/large-fleet-load.test.ts
@@ -4,7 +4,7 @@
 import {ColdRateLimiter} from '../../../src/gateway/limits/cold-rate-limiter.js';
 import {ServiceScheduler} from '../../../src/gateway/scheduling/service-scheduler.js';
 import {
-	bounds, createEndpoint, createService, noRestrictions,
+	bounds, createEndpoint, createService, noRestrictions, promptReading,
 } from '../../fixtures/gateway/documents.js';
 import {ManualClock} from '../../fixtures/manual-clock.js';
 import {createWaitingRequest} from '../../fixtures/gateway/waiting-request.js';
@@ -38,6 +38,7 @@
 		const scheduler = ServiceScheduler.create({
 			service: createService({coldRequestsPerSecond: 0, maximumConnections: 10_000}),
 			clock,
+			readingProgress: promptReading,
 			coldRateLimiter: ColdRateLimiter.create({bounds, ownHost: 'own'}),
 			availabilityZone: 'a',
 			restrictions: noRestrictions,
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -4,7 +4,7 @@
 import type {EndpointRestrictions} from '../../../src/gateway/scheduling/types.js';
 import type {EndpointRecord} from '../../../src/gateway/site/types.js';
 import {
-	bounds, createEndpoint, createService, noRestrictions,
+	bounds, createEndpoint, createService, noRestrictions, promptReading,
 } from '../../fixtures/gateway/documents.js';
 import {createWaitingRequest, type RecordedRequest} from '../../fixtures/gateway/waiting-request.js';
 import {ManualClock} from '../../fixtures/manual-clock.js';
@@ -16,13 +16,15 @@
 	readonly knowsMembers?: boolean;
 	readonly restrictions?: Partial<EndpointRestrictions>;
 	readonly mayDispatch?: (expectedRunMs: number) => boolean;
+	readonly readingProgress?: typeof promptReading;
 };
 
-function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions, mayDispatch = () => true}: Options = {}) {
+function createScheduler({records = [createEndpoint()], peerInFlight = {}, members = ['own'], knowsMembers = true, restrictions, mayDispatch = () => true, readingProgress = promptReading}: Options = {}) {
 	const clock = ManualClock.create(10_000);
 	const scheduler = ServiceScheduler.create({
 		service: createService(),
 		clock,
+		readingProgress,
 		coldRateLimiter: ColdRateLimiter.create({bounds, ownHost: 'own'}),
 		availabilityZone: 'a',
 		restrictions: {...noRestrictions, ...restrictions},
@@ -400,3 +402,69 @@
 	t.like(later.refusals, [{reason: 'stopping', retryAfterMs: 0}]);
 	t.deepEqual(begun.dispatchedTo, ['engine-1']);
 });
+
+/** Reading that is late, or not, as the test says. */
+function createReading() {
+	const callbacks: Array<() => void> = [];
+	const reading = {
+		late: true,
+		/** Ends the postponement of dispatches. */
+		finish() {
+			for (const callback of callbacks.splice(0)) {
+				callback();
+			}
+		},
+		progress: {
+			isLate: () => reading.late,
+			afterReading(callback: () => void) {
+				callbacks.push(callback);
+			},
+		},
+	};
+	return reading;
+}
+
+// Guards against requests that are sent although the disconnect of their callers has arrived.
+test('while disconnects may be unread, requests wait, and those whose callers have left by then are not dispatched', t => {
+	const reading = createReading();
+	const {clock, scheduler} = createScheduler({readingProgress: reading.progress});
+	const requests = [0, 1, 2].map(() => request(clock));
+	for (const each of requests) {
+		scheduler.submit(each);
+	}
+
+	scheduler.dispatchWaiting();
+	t.deepEqual(requests.map(({dispatchedTo}) => dispatchedTo.length), [0, 0, 0]);
+	scheduler.withdraw(requests[1]!);
+	reading.finish();
+	t.deepEqual(requests.map(({dispatchedTo}) => dispatchedTo.length), [1, 0, 1]);
+});
+
+test('a request that was submitted while disconnects may have been unread is refused only if it gets no slot afterwards', t => {
+	const reading = createReading();
+	reading.late = false;
+	const {clock, scheduler} = createScheduler({readingProgress: reading.progress});
+	for (let count = 0; count < 4; count++) {
+		scheduler.submit(request(clock));
+	}
+
+	scheduler.submit(request(clock));
+	clock.advance(1000);
+	reading.late = true;
+	const hopeless = request(clock);
+	scheduler.submit(hopeless);
+	t.deepEqual(hopeless.refusals, []);
+	reading.finish();
+	t.deepEqual(hopeless.refusals.map(({reason}) => reason), ['overloaded']);
+});
+
+test('a process that is always late dispatches after each reading', t => {
+	const reading = createReading();
+	const {clock, scheduler} = createScheduler({readingProgress: reading.progress});
+	for (let count = 0; count < 3; count++) {
+		const each = request(clock);
+		scheduler.submit(each);
+		reading.finish();
+		t.is(each.dispatchedTo.length, 1);
+	}
+});
