--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -284,19 +284,15 @@
 	/** Calls back for a request that has been read, unless its caller has left. The disconnect of a caller is read after its request. */
 	#whenCallerIsPresent(socket: Socket, callback: () => void): void {
 		const {readingProgress, log} = this.options;
-		const isLate = readingProgress.isLate(this.#waitingSince.get(socket));
+		const waitingSince = this.#waitingSince.get(socket);
 		this.#waitingSince.delete(socket);
-		if (!isLate) {
-			callback();
-			return;
-		}
-
-		readingProgress.afterReading(() => {
+		const unreadMs = readingProgress.ageMs;
+		readingProgress.callWhenRead(() => {
 			if (socket.readableEnded || socket.destroyed) {
-				log.event('caller-left-unread', {unreadMs: Math.round(readingProgress.ageMs)});
+				log.event('caller-left-unread', {unreadMs: Math.round(unreadMs)});
 			} else {
 				callback();
 			}
-		});
+		}, waitingSince);
 	}
 }
--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -2,6 +2,7 @@
 import {Client, type Dispatcher} from 'undici';
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {createConnector} from '../../shared/connector.js';
+import type {ReadingProgress} from '../reading-progress.js';
 
 /** Endpoints accept connections within 3 ms. A lost SYN packet is retransmitted only after a second; by then, another endpoint is the better choice. */
 const connectTimeoutMs: Milliseconds = 400;
@@ -28,6 +29,13 @@
 	release(isReusable: boolean): void;
 };
 
+export type EndpointConnectionPoolOptions = {
+	readonly clock: Clock;
+	readonly readingProgress: ReadingProgress;
+	/** Called when a connection is opened. */
+	readonly onConnect: () => void;
+};
+
 type PooledClient = {
 	readonly client: Client;
 	/** Its latest connection. */
@@ -39,15 +47,15 @@
 
 /** Keep-alive connections to the address of one endpoint. */
 export class EndpointConnectionPool {
-	static create(address: string, clock: Clock, onConnect: () => void): EndpointConnectionPool {
-		return new EndpointConnectionPool(address, clock, onConnect);
+	static create(address: string, options: EndpointConnectionPoolOptions): EndpointConnectionPool {
+		return new EndpointConnectionPool(address, options);
 	}
 
 	/** Least recently used first. */
 	readonly #idle: PooledClient[] = [];
 	readonly #clients = new Set<Client>();
 
-	private constructor(private readonly address: string, private readonly clock: Clock, private readonly onConnect: () => void) {}
+	private constructor(private readonly address: string, private readonly options: EndpointConnectionPoolOptions) {}
 
 	get size(): number {
 		return this.#clients.size;
@@ -71,7 +79,7 @@
 
 				isReleased = true;
 				if (isReusable && !client.destroyed) {
-					pooled.lastUsedAt = this.clock.now();
+					pooled.lastUsedAt = this.options.clock.now();
 					this.#idle.push(pooled);
 				} else {
 					this.#close(client);
@@ -82,7 +90,7 @@
 
 	/** Closes connections that have been idle for longer than the timeout. */
 	closeIdleConnections(): void {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		while (this.#idle[0] !== undefined && now - this.#idle[0].lastUsedAt > idleTimeoutMs) {
 			this.#close(this.#idle.shift()!.client);
 		}
@@ -97,7 +105,7 @@
 
 	/** Takes the most recently used idle connection. Closes those that are destroyed or have been idle for too long. */
 	#takeIdle(maximumIdleMs: Milliseconds): PooledClient | undefined {
-		const now = this.clock.now();
+		const now = this.options.clock.now();
 		for (let pooled = this.#idle.pop(); pooled !== undefined; pooled = this.#idle.pop()) {
 			if (!pooled.client.destroyed && now - pooled.lastUsedAt <= maximumIdleMs) {
 				return pooled;
@@ -120,7 +128,7 @@
 				timeoutMs: connectTimeoutMs,
 				createSocket: () => new Socket(),
 				onSocket: socket => {
-					this.onConnect();
+					this.options.onConnect();
 					pooled.hasFailed = false;
 					pooled.socket = socket;
 					socket.setNoDelay(true);
@@ -128,11 +136,15 @@
 						pooled.hasFailed = true;
 					});
 				},
+				whenUsable: callback => {
+					// The client writes the request as soon as it has the connection.
+					this.options.readingProgress.callWhenRead(callback);
+				},
 			}),
 			pipelining: 1,
 		});
 		const pooled: PooledClient = {
-			client, socket: undefined, hasFailed: false, lastUsedAt: this.clock.now(),
+			client, socket: undefined, hasFailed: false, lastUsedAt: this.options.clock.now(),
 		};
 		this.#clients.add(client);
 		return pooled;
--- a/src/gateway/forwarding/endpoint-connection-pools.ts
+++ b/src/gateway/forwarding/endpoint-connection-pools.ts
@@ -1,16 +1,15 @@
-import type {Clock} from '../../shared/clock.js';
 import type {Disposable} from '../../shared/disposable-store.js';
-import {EndpointConnectionPool} from './endpoint-connection-pool.js';
+import {EndpointConnectionPool, type EndpointConnectionPoolOptions} from './endpoint-connection-pool.js';
 
 /** The connection pools of all endpoints, by address. */
 export class EndpointConnectionPools implements Disposable {
-	static create(clock: Clock, onConnect: () => void): EndpointConnectionPools {
-		return new EndpointConnectionPools(clock, onConnect);
+	static create(options: EndpointConnectionPoolOptions): EndpointConnectionPools {
+		return new EndpointConnectionPools(options);
 	}
 
 	readonly #pools = new Map<string, EndpointConnectionPool>();
 
-	private constructor(private readonly clock: Clock, private readonly onConnect: () => void) {}
+	private constructor(private readonly options: EndpointConnectionPoolOptions) {}
 
 	/** Connections that are open or being established. */
 	get size(): number {
@@ -25,7 +24,7 @@
 	poolFor(address: string): EndpointConnectionPool {
 		let pool = this.#pools.get(address);
 		if (pool === undefined) {
-			pool = EndpointConnectionPool.create(address, this.clock, this.onConnect);
+			pool = EndpointConnectionPool.create(address, this.options);
 			this.#pools.set(address, pool);
 		}
 
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -104,8 +104,12 @@
 		this.#coldRateLimiter = ColdRateLimiter.create({bounds: settings.bounds, ownHost: settings.host});
 		this.#retryBudgets = RetryBudgets.create(settings.bounds);
 		this.#freshness = Freshness.create(settings.bounds.revocationMs);
-		this.#connectionPools = EndpointConnectionPools.create(clock, () => {
-			this.#metrics.recordConnect();
+		this.#connectionPools = EndpointConnectionPools.create({
+			clock,
+			readingProgress: this.#readingProgress,
+			onConnect: () => {
+				this.#metrics.recordConnect();
+			},
 		});
 		this.#schedulers = ServiceSchedulers.create({site: this.#site, createScheduler: service => this.#createScheduler(service)});
 		this.#containment = CrashContainment.create({
--- a/src/gateway/reading-progress.ts
+++ b/src/gateway/reading-progress.ts
@@ -19,6 +19,8 @@
 	#acceptedUntil: Milliseconds;
 	#connections = 0;
 	#callbacks: Array<() => void> = [];
+	/** Whether callbacks are being called after a reading. No newer state can be had then, however long it took. */
+	#isAfterReading = false;
 
 	private constructor(private readonly clock: Clock, private readonly log: EventLog) {
 		this.#readUntil = clock.now();
@@ -37,7 +39,7 @@
 
 	/** Whether callers that were present at a time may have left unnoticed. */
 	isLate(presentAt = this.#readUntil): boolean {
-		return this.clock.now() - Math.min(presentAt, this.#readUntil) > toleratedAgeMs;
+		return !this.#isAfterReading && this.clock.now() - Math.min(presentAt, this.#readUntil) > toleratedAgeMs;
 	}
 
 	/** Records that a connection was accepted. */
@@ -50,6 +52,19 @@
 		this.afterReading(() => undefined);
 	}
 
+	/**
+	Calls back at once, or, if callers may have left unnoticed, once that has been read.
+
+	@param presentAt when the caller was present
+	*/
+	callWhenRead(callback: () => void, presentAt?: Milliseconds): void {
+		if (this.isLate(presentAt)) {
+			this.afterReading(callback);
+		} else {
+			callback();
+		}
+	}
+
 	/** Calls back once everything on accepted connections has been read that had arrived before. */
 	afterReading(callback: () => void): void {
 		this.#callbacks.push(callback);
@@ -72,6 +87,7 @@
 				this.#acceptedUntil = startedAt;
 			}
 
+			this.#isAfterReading = true;
 			for (const callback of callbacks) {
 				try {
 					callback();
@@ -79,6 +95,8 @@
 					this.log.event('request-error', {reason: describeError(error)});
 				}
 			}
+
+			this.#isAfterReading = false;
 		});
 	}
 }
--- a/src/shared/connector.ts
+++ b/src/shared/connector.ts
@@ -21,10 +21,16 @@
 	readonly createSocket: () => ConnectingSocket;
 	/** Called before the HTTP client gets the connected socket, so that listeners added here are notified of an error first. */
 	readonly onSocket: (socket: ConnectingSocket) => void;
+	/** Calls back when the HTTP client may use a connection that has been opened. Default: at once. */
+	readonly whenUsable?: (callback: () => void) => void;
 };
 
 /** Creates a connector for undici that opens TCP connections without TLS and aborts an attempt after the timeout. */
-export function createConnector<ConnectingSocket extends Socket>({timeoutMs, createSocket, onSocket}: ConnectorOptions<ConnectingSocket>): buildConnector.connector {
+export function createConnector<ConnectingSocket extends Socket>({
+	timeoutMs, createSocket, onSocket, whenUsable = callback => {
+		callback();
+	},
+}: ConnectorOptions<ConnectingSocket>): buildConnector.connector {
 	return ({hostname, port}, callback) => {
 		const socket = createSocket();
 		const timer = setTimeout(() => {
@@ -43,9 +49,15 @@
 		socket.once('error', onError);
 		socket.once('connect', () => {
 			clearTimeout(timer);
-			socket.off('error', onError);
 			onSocket(socket);
-			callback(null, socket);
+			whenUsable(() => {
+				socket.off('error', onError);
+				if (!socket.destroyed) {
+					callback(null, socket);
+				} else if (socket.errored === null) {
+					callback(new Error('the connection was closed before it was used'), null);
+				}
+			});
 		});
 		socket.connect(Number(port), hostname);
 	};
--- a/test/gateway/forwarding/exchange.test.ts
+++ b/test/gateway/forwarding/exchange.test.ts
@@ -4,7 +4,12 @@
 import test, {type ExecutionContext} from 'ava';
 import {EndpointConnectionPool} from '../../../src/gateway/forwarding/endpoint-connection-pool.js';
 import {Exchange, type ExchangeEnd} from '../../../src/gateway/forwarding/exchange.js';
+import {ReadingProgress} from '../../../src/gateway/reading-progress.js';
 import {SystemClock} from '../../../src/shared/clock.js';
+import {MemoryLog} from '../../fixtures/gateway/memory-log.js';
+
+const clock = SystemClock.create();
+const poolOptions = {clock, readingProgress: ReadingProgress.create(clock, MemoryLog.create(clock).log), onConnect: () => undefined};
 
 type Listener = {
 	readonly pool: EndpointConnectionPool;
@@ -24,7 +29,7 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const pool = EndpointConnectionPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, SystemClock.create(), () => undefined);
+	const pool = EndpointConnectionPool.create(`127.0.0.1:${(server.address() as AddressInfo).port}`, poolOptions);
 	t.teardown(async () => {
 		latest?.destroy();
 		await pool.dispose();
@@ -88,7 +93,7 @@
 	});
 	const {port} = probe.address() as AddressInfo;
 	probe.close();
-	const pool = EndpointConnectionPool.create(`127.0.0.1:${port}`, SystemClock.create(), () => undefined);
+	const pool = EndpointConnectionPool.create(`127.0.0.1:${port}`, poolOptions);
 	t.teardown(async () => pool.dispose());
 	const end = await send({pool, socket: () => connect(port)}, () => undefined);
 	t.is(end.kind, 'unreachable');
--- a/test/shared/connector.test.ts
+++ b/test/shared/connector.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer, Socket, type AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {createConnector} from '../../src/shared/connector.js';
 import {blockThread} from '../fixtures/block-thread.js';
@@ -28,3 +29,33 @@
 	t.is(await connectTo(t, (server.address() as AddressInfo).port, 200), undefined);
 });
 
+// Guards against a request without an end on a connection that its endpoint closed before the HTTP client had it.
+for (const method of ['end', 'resetAndDestroy'] as const) {
+	test(`a connection that is closed before it may be used is not used (${method})`, async t => {
+		const server = createServer(socket => {
+			socket[method]();
+		});
+		server.listen(0, '127.0.0.1');
+		t.teardown(() => server.close());
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		const connect = createConnector({
+			timeoutMs: 1000,
+			createSocket: () => new Socket(),
+			onSocket: () => undefined,
+			whenUsable(callback) {
+				setTimeout(callback, 100);
+			},
+		});
+		const outcomes: unknown[] = [];
+		connect({
+			hostname: '127.0.0.1', host: `127.0.0.1:${port}`, port: String(port), protocol: 'http:',
+		}, (error, socket) => {
+			outcomes.push(error);
+			socket?.destroy();
+		});
+		await delay(200);
+		t.is(outcomes.length, 1);
+		t.true(outcomes[0] instanceof Error);
+	});
+}
