--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -19,8 +19,8 @@
 /** Mean number of requests after which a caller changes to another instance. Until then it keeps its connection open. */
 const meanRequestsPerInstance = 20;
 
-/** Percentage of requests whose caller disconnects before the response is complete. */
-const disconnectPercent = 4;
+/** Percentage of requests whose caller disconnects before the response is complete, of most callers and of impatient ones. */
+export const disconnectPercents = {usual: 4, impatient: 30} as const;
 
 const maximumDisconnectDelayMs: Milliseconds = 300;
 
@@ -45,6 +45,7 @@
 	readonly keys: () => readonly CallerKey[];
 	/** Shared parts of the next prompt. */
 	readonly nextPromptParts: () => readonly string[];
+	readonly disconnectPercent: number;
 	readonly onRecord: (call: RequestRecord) => void;
 };
 
@@ -94,7 +95,7 @@
 }
 
 /** Sends requests one after another until the signal is aborted. The connection to an instance stays open until that instance closes it. */
-export async function runCaller({random, instances, keys, nextPromptParts, onRecord}: CallerOptions, signal: AbortSignal): Promise<void> {
+export async function runCaller({random, instances, keys, nextPromptParts, disconnectPercent, onRecord}: CallerOptions, signal: AbortSignal): Promise<void> {
 	const agent = new Agent({keepAlive: true, maxSockets: 1});
 	let instance = random.pick(instances)!;
 	while (!signal.aborted) {
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -40,6 +40,9 @@
 /** Cancellation counts as broken above this ratio of disconnected requests that endpoints still work on. Fewer cases than the minimum prove nothing. */
 const uncancelledLimit = {ratio: 0.25, minimumCases: 8} as const;
 
+/** Requests of callers that have left that may still reach endpoints in a run. */
+const lateArrivalLimit = 3;
+
 /** Statuses that tell the caller that no endpoint has run the request. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -344,6 +347,13 @@
 			? [`${late.length} of ${disconnected.length} requests were worked on after their callers had left`]
 			: [];
 	},
+	'left-caller-not-sent'(history) {
+		const late = [...new Set(history.receivedRequests.map(({endpoint}) => endpoint))].flatMap(endpoint => findArrivals(history, endpoint)
+			.filter(({request, received}) => received.receivedAt > (request.disconnectedAt ?? Infinity) + bounds.cancellationMs));
+		return late.length > lateArrivalLimit
+			? late.map(({request, received}) => `${request.requestId} reached ${received.endpoint} from ${request.instance} ${Math.round(received.receivedAt - request.disconnectedAt!)} ms after its caller had left`)
+			: [];
+	},
 	'no-exit-unasked'({exits}) {
 		return exits.map(({instance, at}) => `${instance} ended by itself at ${Math.round(at)}`);
 	},
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -2,7 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Milliseconds} from '../src/shared/clock.js';
 import {RandomSource} from '../standins/random-source.js';
-import {sendOneOfEachKind, runCaller} from './callers.js';
+import {disconnectPercents, sendOneOfEachKind, runCaller} from './callers.js';
 import {findViolations, type Violation} from './checks.js';
 import {plannedFaults, unplannedFaults} from './faults.js';
 import {SoakSite} from './site.js';
@@ -19,6 +19,9 @@
 /** Time before the first fault in which callers fill the first windows of the limits. */
 const initialLoadMs: Milliseconds = 1500;
 
+/** Each caller of this number is impatient. */
+const impatientCallerInterval = 3;
+
 /** Interval of the checks for processes that have exited on their own. */
 const supervisionIntervalMs: Milliseconds = 200;
 
@@ -88,6 +91,7 @@
 			nextPromptParts: () => site.prompts.nextParts(promptRandom),
 			instances: site.instances.map(({host}) => host),
 			keys: () => site.configuration.callerKeys(),
+			disconnectPercent: index % impatientCallerInterval === 0 ? disconnectPercents.impatient : disconnectPercents.usual,
 			onRecord(record) {
 				requests.push(record);
 			},
--- a/test/soak/checks.test.ts
+++ b/test/soak/checks.test.ts
@@ -193,6 +193,10 @@
 		broken: {...disconnectedRequests, receivedRequests: disconnectedRequests.receivedRequests.map(received => ({...received, receivedAt: 10_010, closedAt: 11_000}))},
 		kept: {...disconnectedRequests, receivedRequests: disconnectedRequests.receivedRequests.map(received => ({...received, receivedAt: 10_010, closedAt: 10_500}))},
 	},
+	'left-caller-not-sent': {
+		broken: {...disconnectedRequests, receivedRequests: disconnectedRequests.receivedRequests.map((received, index) => ({...received, receivedAt: index < 4 ? 10_551 : 10_050}))},
+		kept: {...disconnectedRequests, receivedRequests: disconnectedRequests.receivedRequests.map((received, index) => ({...received, receivedAt: index < 3 ? 10_551 : 10_550}))},
+	},
 	'no-exit-unasked': {
 		broken: {exits: [{instance: 'i1', at: 10_000}]},
 		kept: {},
