--- a/src/gateway/reading-progress.ts
+++ b/src/gateway/reading-progress.ts
@@ -88,15 +88,25 @@
 			}
 
 			this.#isAfterReading = true;
-			for (const callback of callbacks) {
-				try {
-					callback();
-				} catch (error) {
-					this.log.event('request-error', {reason: describeError(error)});
-				}
-			}
-
+			this.#callWhileCurrent(callbacks);
 			this.#isAfterReading = false;
 		});
 	}
+
+	/** Calls those callbacks first that were added first, until the state is too old; the others wait for the next reading. */
+	#callWhileCurrent(callbacks: ReadonlyArray<() => void>): void {
+		const readAt = this.clock.now();
+		for (const callback of callbacks) {
+			if (this.clock.now() - readAt > toleratedAgeMs) {
+				this.afterReading(callback);
+				continue;
+			}
+
+			try {
+				callback();
+			} catch (error) {
+				this.log.event('request-error', {reason: describeError(error)});
+			}
+		}
+	}
 }
--- a/test/gateway/reading-progress.test.ts
+++ b/test/gateway/reading-progress.test.ts
@@ -78,3 +78,20 @@
 	t.true(isCalled);
 	t.is(memoryLog.linesOf('request-error').length, 1);
 });
+
+// Guards against the last of many requests that are sent on a state as old as the handling of all others.
+test('what comes after long work on others waits until more is read', async t => {
+	const {clock, progress} = createProgress();
+	const calls: string[] = [];
+	for (const name of ['first', 'second', 'third']) {
+		progress.afterReading(() => {
+			calls.push(name);
+			clock.advance(100);
+		});
+	}
+
+	await turnRounds(2);
+	t.deepEqual(calls, ['first', 'second']);
+	await turnRounds(2);
+	t.deepEqual(calls, ['first', 'second', 'third']);
+});
