--- a/src/gateway/scheduling/dispatch-rate.ts
+++ b/src/gateway/scheduling/dispatch-rate.ts
@@ -31,6 +31,11 @@
 		this.#waitingSince = isEmpty ? undefined : this.#waitingSince ?? now;
 	}
 
+	/** Begins the observation again, because the dispatches so far say nothing about those to come. */
+	restart(now: Milliseconds): void {
+		this.#waitingSince = now;
+	}
+
 	/**
 	Returns the expected time until a request gets a slot. Dispatches with a lower rank number don't count, because they go before this request.
 
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -211,6 +211,10 @@
 	#dispatchNow(): void {
 		this.#refuseUnacceptable();
 		const now = this.options.clock.now();
+		if (this.#areAllBrieflySilent(now)) {
+			this.#dispatchRate.restart(now);
+		}
+
 		this.#moveLate(now);
 		this.#dispatchInOrder(now);
 		this.#dispatchRate.recordQueueState(this.#queue.size === 0, now);
@@ -424,8 +428,17 @@
 
 	/** Whether all endpoints are silent, as sound ones are for a moment. Requests that wait for them don't show a low rate of service. */
 	#areAllBrieflySilent(now: Milliseconds): boolean {
-		const serving = [...this.#loads.values()].filter(({record}) => !this.#isLeaving(record));
-		return serving.length > 0 && serving.every(load => load.isBrieflySilent(now));
+		let isAnySilent = false;
+		for (const load of this.#loads.values()) {
+			const isSilent = load.isBrieflySilent(now);
+			if (!isSilent && !this.#isLeaving(load.record)) {
+				return false;
+			}
+
+			isAnySilent ||= isSilent && !this.#isLeaving(load.record);
+		}
+
+		return isAnySilent;
 	}
 
 	#ensurePermission(record: EndpointRecord): boolean {
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -468,3 +468,27 @@
 		t.is(each.dispatchedTo.length, 1);
 	}
 });
+
+// Guards against a refusal of what waited while all endpoints were silent for a moment: there were no dispatches to estimate its wait from.
+test('a request that becomes late in the moment in which a silence of all endpoints ends is not refused', t => {
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 2})]});
+	scheduler.submit(request(clock));
+	scheduler.submit(request(clock));
+	clock.advance(400);
+	scheduler.recordOutcome('engine-1', 'unanswered');
+	clock.advance(500);
+	scheduler.submit(request(clock));
+	const waiting = request(clock, {targetAt: clock.now() + 600});
+	scheduler.submit(waiting);
+	for (let elapsedMs = 0; elapsedMs < 540; elapsedMs += 45) {
+		clock.advance(45);
+		scheduler.dispatchWaiting();
+	}
+
+	t.deepEqual(waiting.dispatchedTo, []);
+	clock.advance(5);
+	scheduler.recordHeard('engine-1');
+	scheduler.recordOutcome('engine-1', 'completed');
+	t.deepEqual(waiting.refusals, []);
+	t.is(waiting.dispatchedTo.length, 1);
+});
