--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -138,7 +138,12 @@
 				},
 				whenUsable: callback => {
 					// The client writes the request as soon as it has the connection.
-					this.options.readingProgress.callWhenRead(callback);
+					const {readingProgress} = this.options;
+					if (readingProgress.isLate()) {
+						readingProgress.afterRound(callback);
+					} else {
+						callback();
+					}
 				},
 			}),
 			pipelining: 1,
--- a/src/gateway/reading-progress.ts
+++ b/src/gateway/reading-progress.ts
@@ -19,6 +19,7 @@
 	#acceptedUntil: Milliseconds;
 	#connections = 0;
 	#callbacks: Array<() => void> = [];
+	readonly #roundCallbacks: Array<() => void> = [];
 	/** Whether callbacks are being called after a reading. No newer state can be had then, however long it took. */
 	#isAfterReading = false;
 
@@ -65,6 +66,18 @@
 		}
 	}
 
+	/**
+	Calls back at the end of the current round of the event loop. The disconnects are read then that had arrived when the round read, unless other input of the same connection was unread.
+	*/
+	afterRound(callback: () => void): void {
+		this.#roundCallbacks.push(callback);
+		if (this.#roundCallbacks.length === 1) {
+			setImmediate(() => {
+				this.#callWhileCurrent(this.#roundCallbacks.splice(0));
+			});
+		}
+	}
+
 	/** Calls back once everything on accepted connections has been read that had arrived before. */
 	afterReading(callback: () => void): void {
 		this.#callbacks.push(callback);
@@ -87,15 +100,14 @@
 				this.#acceptedUntil = startedAt;
 			}
 
-			this.#isAfterReading = true;
 			this.#callWhileCurrent(callbacks);
-			this.#isAfterReading = false;
 		});
 	}
 
 	/** Calls those callbacks first that were added first, until the state is too old; the others wait for the next reading. */
 	#callWhileCurrent(callbacks: ReadonlyArray<() => void>): void {
 		const readAt = this.clock.now();
+		this.#isAfterReading = true;
 		for (const callback of callbacks) {
 			if (this.clock.now() - readAt > toleratedAgeMs) {
 				this.afterReading(callback);
@@ -108,5 +120,7 @@
 				this.log.event('request-error', {reason: describeError(error)});
 			}
 		}
+
+		this.#isAfterReading = false;
 	}
 }
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -40,7 +40,7 @@
 export type ServiceSchedulerOptions = {
 	readonly service: Service;
 	readonly clock: Clock;
-	readonly readingProgress: Pick<ReadingProgress, 'isLate' | 'afterReading'>;
+	readonly readingProgress: Pick<ReadingProgress, 'isLate' | 'afterRound'>;
 	readonly coldRateLimiter: ColdRateLimiter;
 	readonly availabilityZone: string;
 	readonly restrictions: EndpointRestrictions;
@@ -189,7 +189,7 @@
 		this.dispatchWaiting();
 	}
 
-	/** Dispatches waiting requests as long as there are free slots. Refuses those that the process can't dispatch before it ends. When callers may have left unnoticed, it does so once that has been read. */
+	/** Dispatches waiting requests as long as there are free slots. Refuses those that the process can't dispatch before it ends. When callers may have left unnoticed, it does so at the end of the round, which reads that. */
 	dispatchWaiting(): void {
 		const {readingProgress} = this.options;
 		if (this.#queue.size === 0 || this.#isPostponed) {
@@ -202,7 +202,7 @@
 		}
 
 		this.#isPostponed = true;
-		readingProgress.afterReading(() => {
+		readingProgress.afterRound(() => {
 			this.#isPostponed = false;
 			this.#dispatchPostponed();
 		});
--- a/test/gateway/gateway-process.test.ts
+++ b/test/gateway/gateway-process.test.ts
@@ -1,6 +1,6 @@
 import {monitorEventLoopDelay} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {createConfigurationDocument} from '../../standins/platform-documents.js';
 import {CallerThread} from '../fixtures/caller-thread.js';
 import {call} from '../fixtures/gateway/caller.js';
@@ -8,6 +8,13 @@
 import {GatewaySite, type Gateway} from '../fixtures/gateway/gateway-site.js';
 import {until} from '../fixtures/until.js';
 
+/** Prints what the gateways of a failed test have logged. */
+function logIfFailed(t: ExecutionContext, {gateways}: GatewaySite): void {
+	if (!t.passed) {
+		t.log(gateways.map(({memoryLog}) => memoryLog.lines.join('')).join('\n'));
+	}
+}
+
 // Guards against a request that is accepted between the end of the last one and the end of the process, which would cut it without a response.
 test.serial('after a planned stop no request is accepted, and one that was accepted before is answered', async t => {
 	const site = await GatewaySite.start();
@@ -122,7 +129,10 @@
 // Guards against an instance that takes its own loss of the store for an outage and keeps endpoints that have left.
 test.serial('an instance that only the store had turned away sends nothing to endpoints that left meanwhile', async t => {
 	const site = await GatewaySite.start();
-	t.teardown(async () => site.dispose());
+	t.teardown(async () => {
+		logIfFailed(t, site);
+		await site.dispose();
+	});
 	await site.addEndpoint({id: 'remaining', isEngine: false});
 	const instances = [await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy()];
 	await until(() => instances.every(({gateway}) => gateway.memoryLog.linesOf('peer-joined').length === 2));
@@ -153,7 +163,10 @@
 // Guards against an outage that is assumed because the others were busy when they were asked.
 test.serial('an instance that the store had turned away learns from the others that endpoints left, although they were busy when it asked', async t => {
 	const site = await GatewaySite.start();
-	t.teardown(async () => site.dispose());
+	t.teardown(async () => {
+		logIfFailed(t, site);
+		await site.dispose();
+	});
 	await site.addEndpoint({id: 'remaining', isEngine: false});
 	const instances = [await site.addGatewayBehindProxy(), await site.addGatewayBehindProxy()];
 	const [{gateway, proxy}, {gateway: other}] = instances as [typeof instances[0], typeof instances[0]];
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -416,7 +416,7 @@
 		},
 		progress: {
 			isLate: () => reading.late,
-			afterReading(callback: () => void) {
+			afterRound(callback: () => void) {
 				callbacks.push(callback);
 			},
 		},
