--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -294,13 +294,18 @@
 		const {readingProgress, log} = this.options;
 		const waitingSince = this.#waitingSince.get(socket);
 		this.#waitingSince.delete(socket);
-		const unreadMs = readingProgress.ageMs;
-		readingProgress.callWhenRead(() => {
+		if (!readingProgress.isLate(waitingSince)) {
+			callback();
+			return;
+		}
+
+		const unreadMs = Math.round(readingProgress.unreadMs(waitingSince));
+		readingProgress.afterReading(() => {
 			if (socket.readableEnded || socket.destroyed) {
-				log.event('caller-left-unread', {unreadMs: Math.round(unreadMs)});
+				log.event('caller-left-unread', {unreadMs});
 			} else {
 				callback();
 			}
-		}, waitingSince);
+		});
 	}
 }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -346,7 +346,7 @@
 			retryBudgets: this.#retryBudgets,
 			memberCount: () => this.#peers.isZoned && !this.#peers.knowsMembers(clock.now()) ? Infinity : this.#peers.memberCount,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
-			unreadMs: () => this.#readingProgress.ageMs,
+			unreadMs: () => this.#readingProgress.unreadMs(),
 			findLimit: endpoint => this.#restrictions.findLimit(endpoint),
 			findEndpoint: id => this.#site.endpoints.get(id),
 			acquireConnection: (endpoint, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(isRetryable),
--- a/src/gateway/reading-progress.ts
+++ b/src/gateway/reading-progress.ts
@@ -33,14 +33,18 @@
 		return this.#acceptedUntil;
 	}
 
-	/** Longest time for which something on an accepted connection may have been unread. */
-	get ageMs(): Milliseconds {
-		return this.clock.now() - this.#readUntil;
+	/**
+	Returns the longest time for which the disconnect of a caller may have been unread.
+
+	@param presentAt since when its connection may have waited to be accepted, if nothing was read from it before
+	*/
+	unreadMs(presentAt: Milliseconds = Infinity): Milliseconds {
+		return this.clock.now() - Math.min(presentAt, this.#readUntil);
 	}
 
-	/** Whether callers that were present at a time may have left unnoticed. */
-	isLate(presentAt = this.#readUntil): boolean {
-		return !this.#isAfterReading && this.clock.now() - Math.min(presentAt, this.#readUntil) > toleratedAgeMs;
+	/** Whether a caller may have left unnoticed. The parameter is that of `unreadMs`. */
+	isLate(presentAt?: Milliseconds): boolean {
+		return !this.#isAfterReading && this.unreadMs(presentAt) > toleratedAgeMs;
 	}
 
 	/** Records that a connection was accepted. */
@@ -53,19 +57,6 @@
 		this.afterReading(() => undefined);
 	}
 
-	/**
-	Calls back at once, or, if callers may have left unnoticed, once that has been read.
-
-	@param presentAt when the caller was present
-	*/
-	callWhenRead(callback: () => void, presentAt?: Milliseconds): void {
-		if (this.isLate(presentAt)) {
-			this.afterReading(callback);
-		} else {
-			callback();
-		}
-	}
-
 	/**
 	Calls back at the end of the current round of the event loop. The disconnects are read then that had arrived when the round read, unless other input of the same connection was unread.
 	*/
--- a/test/gateway/reading-progress.test.ts
+++ b/test/gateway/reading-progress.test.ts
@@ -29,7 +29,7 @@
 	t.true(progress.isLate());
 	await turnRounds(1);
 	t.false(progress.isLate());
-	t.is(progress.ageMs, 0);
+	t.is(progress.unreadMs(), 0);
 });
 
 // Guards against a connection whose caller left in the backlog, and that is accepted when everything else has been read.
