--- a/src/entry/callers/caller-server.ts
+++ b/src/entry/callers/caller-server.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, Server} from 'node:http';
+import type {Socket} from 'node:net';
 import {H3, serve, type H3Event} from 'h3';
 import type {Clock} from '../../shared/clock.js';
 import type {Configuration, TierConfiguration} from '../../shared/configuration/index.js';
@@ -9,6 +10,7 @@
 import type {Logger} from '../../shared/log.js';
 import {closeAfterReading} from '../../shared/listen.js';
 import {PrefixBlockHasher} from '../../shared/prefix-blocks.js';
+import type {ReadingProgress} from '../../shared/reading-progress.js';
 import type {Mailbox} from '../../shared/message-loop.js';
 import {withoutHopByHopHeaders} from '../dispatch/headers.js';
 import {
@@ -42,6 +44,7 @@
 	readonly logger: Logger;
 	readonly registry: RequestRegistry;
 	readonly mailbox: Mailbox<CallerMessage>;
+	readonly readingProgress: ReadingProgress;
 	/** Returns the configuration in force, or undefined until there is one. */
 	readonly configuration: () => Configuration | undefined;
 	readonly readiness: () => ReadinessState;
@@ -106,6 +109,7 @@
 	readonly #logger: Logger;
 	readonly #registry: RequestRegistry;
 	readonly #mailbox: Mailbox<CallerMessage>;
+	readonly #readingProgress: ReadingProgress;
 	readonly #configuration: () => Configuration | undefined;
 	readonly #readiness: () => ReadinessState;
 	readonly #findOwnerAddress: FindOwnerAddress;
@@ -120,6 +124,7 @@
 		this.#logger = options.logger;
 		this.#registry = options.registry;
 		this.#mailbox = options.mailbox;
+		this.#readingProgress = options.readingProgress;
 		this.#configuration = options.configuration;
 		this.#readiness = options.readiness;
 		this.#findOwnerAddress = options.findOwnerAddress;
@@ -155,6 +160,9 @@
 			gracefulShutdown: false,
 			node: {keepAliveTimeout: keepAliveTimeoutMs},
 		});
+		this.#server.node!.server!.on('connection', (socket: Socket) => {
+			this.#readingProgress.recordConnection(socket);
+		});
 		await this.#server.ready();
 	}
 
@@ -273,6 +281,7 @@
 		const {name: tierName, tier} = checkTier(configuration, call.headers, workspace);
 		this.#checkReadiness(call);
 		const body = await this.#readBody(call);
+		await this.#checkCaller(call);
 		const details = createDetails(configuration, body);
 		const queueTimeoutMs = checkQueueTimeout(call.headers, tier);
 		// The state may have changed while the body was being read.
@@ -303,6 +312,25 @@
 		return this.#relayResponse(call, kind, events);
 	}
 
+	/**
+	Waits until the disconnect of a caller whose request was read late would have been read. A keyed request runs to completion although its caller has left.
+
+	@throws {FailureError} when the caller has left
+	*/
+	async #checkCaller({request: {socket}, idempotencyKey}: Call): Promise<void> {
+		const waitingSince = this.#readingProgress.takeWaitingSince(socket);
+		if (idempotencyKey !== undefined || !this.#readingProgress.isLate(waitingSince)) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.#readingProgress.afterReading(resolve);
+		});
+		if (socket.readableEnded || socket.destroyed) {
+			throw FailureError.create('cancelled', 'the caller disconnected before the request was submitted');
+		}
+	}
+
 	/** Must be called after the submission is posted, so that `caller-gone` never precedes it. */
 	async #relayResponse(call: Call, kind: RequestKind, events: AsyncIterableIterator<ResponseEvent>): Promise<Response> {
 		const {requestId, method} = call;
--- a/src/entry/entry-process.ts
+++ b/src/entry/entry-process.ts
@@ -7,6 +7,7 @@
 import {DisposableStore, type Disposable} from '../shared/disposable-store.js';
 import {Invariants, type InvariantViolation} from '../shared/invariants.js';
 import type {Logger} from '../shared/log.js';
+import {ReadingProgress} from '../shared/reading-progress.js';
 import type {Mailbox} from '../shared/message-loop.js';
 import {CallerServer, readinessStates} from './callers/index.js';
 import {ConfigurationInForce, type CurrentConfiguration} from './configuration/configuration-in-force.js';
@@ -85,6 +86,7 @@
 	readonly #instanceList: InstanceListTask;
 	readonly #instanceDirectory = InstanceDirectory.create();
 	readonly #callers: CallerServer;
+	readonly #readingProgress: ReadingProgress;
 	readonly #operators: OperatorServer;
 	readonly #enginePoll: EnginePollTask;
 	readonly #connections = EndpointConnections.create();
@@ -166,12 +168,16 @@
 		this.#enginePoll = EnginePollTask.create({
 			clock, logger: this.#logger, mailbox: this.#scheduler, engines: () => this.#polledEngines(),
 		});
+		this.#readingProgress = ReadingProgress.create(clock, error => {
+			this.#logger.error({err: error}, 'late-request-failed');
+		});
 		this.#callers = CallerServer.create({
 			settings,
 			clock,
 			logger: this.#logger,
 			registry: this.#registry,
 			mailbox: this.#scheduler,
+			readingProgress: this.#readingProgress,
 			configuration: () => this.#inForce.current()?.configuration,
 			readiness: () => this.#readiness().state,
 			findOwnerAddress: (slot, incarnation) => this.#findOwnerAddress(slot, incarnation),
@@ -223,6 +229,7 @@
 		this.#disposables.add(this.#instanceList);
 		this.#instanceList.start();
 		this.#disposables.addInterval(() => {
+			this.#readingProgress.update();
 			this.#scheduler.post({kind: 'tick'});
 			this.#reportReadiness();
 		}, tickIntervalMs);
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -7,8 +7,8 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {describeError} from '../../shared/describe-error.js';
 import {closeAfterReading, listen, readArrivedRequests} from '../../shared/listen.js';
+import type {ReadingProgress} from '../../shared/reading-progress.js';
 import type {EventLog} from '../observability/event-log.js';
-import type {ReadingProgress} from '../reading-progress.js';
 import type {CallerLimits} from '../site/types.js';
 import {CallerConnections} from './caller-connections.js';
 import {HttpResponse} from './http-response.js';
@@ -75,8 +75,6 @@
 	#limits = defaultLimits;
 	#isStopping = false;
 	#openRequests = 0;
-	/** Since when the connections without a request may have waited to be accepted. */
-	readonly #waitingSince = new WeakMap<Socket, Milliseconds>();
 	/** The last request on each connection. */
 	readonly #lastRequests = new WeakMap<Socket, {readonly message: IncomingMessage; readonly fail: (type: ReadingFailure) => void}>();
 
@@ -102,8 +100,7 @@
 		};
 
 		this.#server.on('connection', socket => {
-			options.readingProgress.recordConnection();
-			this.#waitingSince.set(socket, options.readingProgress.acceptedUntil);
+			options.readingProgress.recordConnection(socket);
 			this.#connections.add(socket);
 		});
 		this.#server.on('close', () => {
@@ -292,8 +289,7 @@
 	/** Calls back for a request that has been read, unless its caller has left. The disconnect of a caller is read after its request. */
 	#whenCallerIsPresent(socket: Socket, callback: () => void): void {
 		const {readingProgress, log} = this.options;
-		const waitingSince = this.#waitingSince.get(socket);
-		this.#waitingSince.delete(socket);
+		const waitingSince = readingProgress.takeWaitingSince(socket);
 		if (!readingProgress.isLate(waitingSince)) {
 			callback();
 			return;
--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -2,7 +2,7 @@
 import {Client, type Dispatcher} from 'undici';
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import {createConnector} from '../../shared/connector.js';
-import type {ReadingProgress} from '../reading-progress.js';
+import type {ReadingProgress} from '../../shared/reading-progress.js';
 
 /** Endpoints accept connections within 3 ms. A lost SYN packet is retransmitted only after a second; by then, another endpoint is the better choice. */
 const connectTimeoutMs: Milliseconds = 400;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -2,6 +2,7 @@
 import type {Clock, Milliseconds} from '../shared/clock.js';
 import {describeError} from '../shared/describe-error.js';
 import {DisposableStore} from '../shared/disposable-store.js';
+import {ReadingProgress} from '../shared/reading-progress.js';
 import {Admission} from './callers/admission.js';
 import {CallerServer, type ReceivedRequest} from './callers/caller-server.js';
 import {EndpointConnectionPools} from './forwarding/endpoint-connection-pools.js';
@@ -25,7 +26,6 @@
 import type {Protocol} from './protocol.js';
 import {ServiceScheduler} from './scheduling/service-scheduler.js';
 import {ServiceSchedulers} from './scheduling/service-schedulers.js';
-import {ReadingProgress} from './reading-progress.js';
 import type {InstanceSettings} from './settings.js';
 import {ConfirmationTask} from './site/confirmation-task.js';
 import {selectReader} from './site/reader-selection.js';
@@ -96,7 +96,9 @@
 	private constructor(private readonly options: GatewayProcessOptions) {
 		const {settings, clock, freshnessClock, log, source} = options;
 		this.#startedAt = clock.now();
-		this.#readingProgress = ReadingProgress.create(clock, log);
+		this.#readingProgress = ReadingProgress.create(clock, error => {
+			log.event('request-error', {reason: describeError(error)});
+		});
 		this.#peers = PeerGroup.create({ownHost: settings.host, availabilityZone: settings.availabilityZone, startedAt: this.#startedAt});
 		this.#peers.setSeedHosts(settings.seedHosts);
 		this.#quotas = WorkspaceQuotas.create({bounds: settings.bounds, now: this.#startedAt});
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -1,6 +1,6 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
+import type {ReadingProgress} from '../../shared/reading-progress.js';
 import type {ColdRateLimiter} from '../limits/cold-rate-limiter.js';
-import type {ReadingProgress} from '../reading-progress.js';
 import type {EndpointRecord, Service} from '../site/types.js';
 import {EndpointLoad, attemptOutcomes, type AttemptOutcome} from './endpoint-load.js';
 import {EventCountEstimator} from './event-count-estimator.js';
--- a/src/gateway/reading-progress.ts
+++ b/src/shared/reading-progress.ts
@@ -1,6 +1,5 @@
-import type {Clock, Milliseconds} from '../shared/clock.js';
-import {describeError} from '../shared/describe-error.js';
-import type {EventLog} from './observability/event-log.js';
+import type {Socket} from 'node:net';
+import type {Clock, Milliseconds} from './clock.js';
 
 /** Age of what has been read above which callers may have left unnoticed. An idle process reads in each of its periodic checks. */
 const toleratedAgeMs: Milliseconds = 150;
@@ -11,28 +10,26 @@
 The event loop reads once in a round, and accepts one connection. It runs immediates right after that.
 */
 export class ReadingProgress {
-	static create(clock: Clock, log: EventLog): ReadingProgress {
-		return new ReadingProgress(clock, log);
+	/** @param onError called with an error of one callback, which must not keep the others from going on */
+	static create(clock: Clock, onError: (error: unknown) => void): ReadingProgress {
+		return new ReadingProgress(clock, onError);
 	}
 
 	#readUntil: Milliseconds;
 	#acceptedUntil: Milliseconds;
-	#connections = 0;
+	#connectionCount = 0;
+	/** Since when the connections from which nothing was read may have waited to be accepted. */
+	readonly #waitingSince = new WeakMap<Socket, Milliseconds>();
 	#callbacks: Array<() => void> = [];
 	readonly #roundCallbacks: Array<() => void> = [];
 	/** Whether callbacks are being called after a reading. No newer state can be had then, however long it took. */
 	#isAfterReading = false;
 
-	private constructor(private readonly clock: Clock, private readonly log: EventLog) {
+	private constructor(private readonly clock: Clock, private readonly onError: (error: unknown) => void) {
 		this.#readUntil = clock.now();
 		this.#acceptedUntil = this.#readUntil;
 	}
 
-	/** When all connections were known to be accepted. A connection that is accepted now may have waited since then. */
-	get acceptedUntil(): Milliseconds {
-		return this.#acceptedUntil;
-	}
-
 	/**
 	Returns the longest time for which the disconnect of a caller may have been unread.
 
@@ -47,9 +44,17 @@
 		return !this.#isAfterReading && this.unreadMs(presentAt) > toleratedAgeMs;
 	}
 
-	/** Records that a connection was accepted. */
-	recordConnection(): void {
-		this.#connections++;
+	/** Records that a connection was accepted. It may have waited since all connections were known to be accepted. */
+	recordConnection(connection: Socket): void {
+		this.#connectionCount++;
+		this.#waitingSince.set(connection, this.#acceptedUntil);
+	}
+
+	/** Returns since when a connection may have waited to be accepted. Undefined if something was read from it before. */
+	takeWaitingSince(connection: Socket): Milliseconds | undefined {
+		const waitingSince = this.#waitingSince.get(connection);
+		this.#waitingSince.delete(connection);
+		return waitingSince;
 	}
 
 	/** Determines the progress anew. Called periodically. */
@@ -84,10 +89,10 @@
 		const callbacks = this.#callbacks;
 		this.#callbacks = [];
 		const startedAt = this.clock.now();
-		const connections = this.#connections;
+		const connectionCount = this.#connectionCount;
 		setImmediate(() => {
 			this.#readUntil = startedAt;
-			if (this.#connections === connections) {
+			if (this.#connectionCount === connectionCount) {
 				this.#acceptedUntil = startedAt;
 			}
 
@@ -108,7 +113,7 @@
 			try {
 				callback();
 			} catch (error) {
-				this.log.event('request-error', {reason: describeError(error)});
+				this.onError(error);
 			}
 		}
 
