--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -18,14 +18,14 @@
 /** Time that the caller is given to close a connection whose last response has been sent. */
 const closeTimeoutMs: Milliseconds = 1000;
 
-export type RequestListener = {
+export type OpenRequestCallbacks = {
 	/** Called when the caller has ended its side of the connection, or has reset it. The connection itself closes in a later round of the event loop. */
 	readonly onLeave: () => void;
 	/** Called once, when the response has been handed to the operating system or the connection has closed. */
 	readonly onEnd: () => void;
 };
 
-type OpenRequest = RequestListener & {readonly response: ServerResponse};
+type OpenRequest = OpenRequestCallbacks & {readonly response: ServerResponse};
 
 type Connection = {
 	readonly socket: Socket;
@@ -119,14 +119,14 @@
 
 	@returns whether the request may be responded to; it may not when it follows a response that closes the connection
 	*/
-	addRequest(message: IncomingMessage, response: ServerResponse, listener: RequestListener): boolean {
+	addRequest(message: IncomingMessage, response: ServerResponse, callbacks: OpenRequestCallbacks): boolean {
 		const {socket} = message;
 		const connection = this.#connections.get(socket);
 		if (connection === undefined || connection.isEnding || connection.isCloseAnnounced) {
 			return false;
 		}
 
-		const request: OpenRequest = {response, ...listener};
+		const request: OpenRequest = {response, ...callbacks};
 		connection.requests.add(request);
 		connection.lastResponse = response;
 		connection.headDueAt = undefined;
--- a/src/shared/reading-progress.ts
+++ b/src/shared/reading-progress.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Clock, Milliseconds} from './clock.js';
 
-/** Age of what has been read above which callers may have left unnoticed. An idle process reads in each of its periodic checks. */
+/** Age of what has been read above which callers may have left unnoticed. */
 const toleratedAgeMs: Milliseconds = 150;
 
 /**
@@ -33,15 +33,15 @@
 	/**
 	Returns the longest time for which the disconnect of a caller may have been unread.
 
-	@param presentAt since when its connection may have waited to be accepted, if nothing was read from it before
+	@param waitingSince since when its connection may have waited to be accepted, if nothing was read from it before
 	*/
-	unreadMs(presentAt: Milliseconds = Infinity): Milliseconds {
-		return this.clock.now() - Math.min(presentAt, this.#readUntil);
+	unreadMs(waitingSince: Milliseconds = Infinity): Milliseconds {
+		return this.clock.now() - Math.min(waitingSince, this.#readUntil);
 	}
 
 	/** Whether a caller may have left unnoticed. The parameter is that of `unreadMs`. */
-	isLate(presentAt?: Milliseconds): boolean {
-		return !this.#isAfterReading && this.unreadMs(presentAt) > toleratedAgeMs;
+	isLate(waitingSince?: Milliseconds): boolean {
+		return !this.#isAfterReading && this.unreadMs(waitingSince) > toleratedAgeMs;
 	}
 
 	/** Records that a connection was accepted. It may have waited since all connections were known to be accepted. */
--- a/test/entry/callers/left-callers.test.ts
+++ b/test/entry/callers/left-callers.test.ts
@@ -3,7 +3,7 @@
 import {splitAddress} from '../../../src/shared/address.js';
 import {blockThread} from '../../fixtures/block-thread.js';
 import {CallerServerFixture} from '../../fixtures/caller-servers.js';
-import {LeavingCallers, leavings, type Leaving} from '../../fixtures/gateway/leaving-callers.js';
+import {LeavingCallers, leavings, type Leaving} from '../../fixtures/leaving-callers.js';
 
 const body = '{"model":"summary-8b","stream":true,"messages":[{"role":"user","content":"Summarise the file"}]}';
 const request = `POST /v1/chat/completions HTTP/1.1\r\nHost: test\r\nX-Workspace: glasgow\r\nContent-Type: application/json\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
--- a/test/gateway/callers/caller-closing.test.ts
+++ b/test/gateway/callers/caller-closing.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import type {ReceivedRequest} from '../../../src/gateway/callers/caller-server.js';
 import {startCallerServer, type CallerServerFixture} from '../../fixtures/gateway/caller-server.js';
-import {LeavingCallers, leavings} from '../../fixtures/gateway/leaving-callers.js';
+import {LeavingCallers, leavings} from '../../fixtures/leaving-callers.js';
 import {RawCaller} from '../../fixtures/gateway/raw-caller.js';
 import {until} from '../../fixtures/until.js';
 
--- a/test/gateway/left-callers.test.ts
+++ b/test/gateway/left-callers.test.ts
@@ -6,7 +6,7 @@
 import {blockThread} from '../fixtures/block-thread.js';
 import {call} from '../fixtures/gateway/caller.js';
 import {GatewaySite} from '../fixtures/gateway/gateway-site.js';
-import {LeavingCallers, leavings, type Leaving} from '../fixtures/gateway/leaving-callers.js';
+import {LeavingCallers, leavings, type Leaving} from '../fixtures/leaving-callers.js';
 import {until} from '../fixtures/until.js';
 
 /** Time between the disconnect of the callers and the end of the pause. It is above the bound for requests that still reach an endpoint. */
