--- a/review/3/run.js
+++ b/review/3/run.js
@@ -9,17 +9,21 @@
 import {bounds, Gateways} from '../support/gateways.js';
 import {Store} from '../support/store.js';
 
-const machineCount = 7;
+const machineCount = 3;
 const workerCount = 6;
-const killTimesMs = [4000, 7500];
+const killTimesMs = [3400, 6900];
 const rejectedShare = 0.45;
-const requestsPerSecond = 20;
+
+/** Two periods of 6,500 ms, one after the other. */
+const rejectingMs = 2 * 6500;
+
+const requestsPerSecond = 26;
 const lengthMs = 14_000;
 const deadlineMs = 3000;
 const service = 'kit-orders';
 
 /** A worker of the plain service, which says of part of the requests that it has not run them. */
-async function startWorker(address, id, {note, arrivals, now}) {
+async function startWorker(address, id, {note, arrivals, now, isRejecting}) {
 	const server = createServer((request, response) => {
 		request.resume();
 		const requestId = request.headers['x-request-id'];
@@ -30,7 +34,7 @@
 		}
 
 		arrivals.push({requestId, at: now()});
-		if (Math.random() < rejectedShare) {
+		if (isRejecting() && Math.random() < rejectedShare) {
 			note(`worker ${id} rejects ${requestId}`);
 			response.writeHead(503, {'x-request-id': requestId, 'x-not-executed': '1', 'content-length': 0});
 			response.end();
@@ -83,10 +87,14 @@
 	const now = () => performance.now();
 	/** Arrivals at workers. */
 	const arrivals = [];
+	let startedAt = Infinity;
+	const isRejecting = () => now() - startedAt < rejectingMs;
 	for (let index = 1; index <= workerCount; index++) {
 		const id = `i-orders-${index}`;
 		// eslint-disable-next-line no-await-in-loop
-		const server = await startWorker('127.0.0.1', id, {note, arrivals, now});
+		const server = await startWorker('127.0.0.1', id, {
+			note, arrivals, now, isRejecting,
+		});
 		onEnd(() => {
 			server.close();
 			server.closeAllConnections();
@@ -103,7 +111,7 @@
 
 	/** Times at which clients sent requests. */
 	const requests = [];
-	const startedAt = now();
+	startedAt = now();
 	const kills = hasTrouble
 		? killTimesMs.map(async at => {
 			await delay(at);
