--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,24 +1,57 @@
-/** A process is killed while it passes on streams that end with their connections. */
+/** A client leaves a stream that has no length. */
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hasTrouble, runCase} from '../support/case.js';
 import {send} from '../support/client.js';
 import {
-	configuration, createEngineHeaders, createRequestId, keepRecord,
+	configuration, createEngineHeaders, createHeaders, createRequestId, keepRecord,
 } from '../support/deployment.js';
 import {Gateways} from '../support/gateways.js';
 import {Store} from '../support/store.js';
 
 const machineCount = 3;
-const streamsPerMachine = 4;
-const eventCount = 42;
+const eventCount = 100;
 const eventIntervalMs = 40;
-const killAfterMs = 700;
-const deadlineMs = 10_000;
+const streamDeadlineMs = 12_000;
 
-/** An engine whose answers have no length and end with their connections. */
-async function startEngine(address, id, note) {
-	const server = createServer(async (request, response) => {
+/** When one of the streams' clients leaves. */
+const leavesAfterMs = 1000;
+
+/** Requests for stock: a tenth of a second apart, from the moment at which the client leaves. */
+const requestCount = 10;
+const requestIntervalMs = 100;
+const requestDeadlineMs = 10_000;
+
+/** Time after the route's timeout within which a request has to be answered. */
+const marginMs = 500;
+
+const routeTimeoutMs = configuration.routes.find(({name}) => name === 'stock').timeout_ms;
+
+/** Answers with a stream that has no length and ends with its connection. */
+async function stream(request, response, id) {
+	const requestId = request.headers['x-request-id'];
+	// Without this header, the response ends with its connection.
+	response.removeHeader('transfer-encoding');
+	response.writeHead(200, {
+		'content-type': 'text/event-stream', connection: 'close', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`,
+	});
+	for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount && !response.destroyed; event++) {
+		response.write(`id: ${event}\ndata: event ${event} of ${requestId}\n\n`);
+		// eslint-disable-next-line no-await-in-loop
+		await delay(eventIntervalMs);
+	}
+
+	response.end();
+}
+
+function answer(request, response, id) {
+	const requestId = request.headers['x-request-id'];
+	response.writeHead(200, {'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`, 'content-type': 'text/plain'});
+	response.end('stock');
+}
+
+async function startWorker(id, respond, note) {
+	const server = createServer((request, response) => {
 		request.resume();
 		const requestId = request.headers['x-request-id'];
 		if (request.headers['x-expect-instance'] !== id) {
@@ -28,30 +61,14 @@
 		}
 
 		note(`worker ${id} runs ${requestId}`);
-		// Without this header, the response ends with its connection.
-		response.removeHeader('transfer-encoding');
-		response.writeHead(200, {
-			'content-type': 'text/event-stream', connection: 'close', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`,
-		});
-		for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount && !response.destroyed; event++) {
-			response.write(`id: ${event}\ndata: event ${event} of ${requestId}\n\n`);
-			// eslint-disable-next-line no-await-in-loop
-			await delay(eventIntervalMs);
-		}
-
-		note(`worker ${id} ends ${requestId}${response.destroyed ? ' because its connection is closed' : ' after the last event'}`);
-		response.end();
+		respond(request, response, id);
 	});
 	await new Promise(resolve => {
-		server.listen(0, address, resolve);
+		server.listen(0, '127.0.0.1', resolve);
 	});
 	return server;
 }
 
-function countEvents(body) {
-	return body.split('\n\n').length - 1;
-}
-
 await runCase(import.meta.dirname, async ({note, directory, onEnd}) => {
 	const store = await Store.listen('127.0.0.1');
 	onEnd(() => {
@@ -59,43 +76,64 @@
 	});
 	store.put('op/config', configuration);
 	for (const [index, zone] of ['gt-midrand', 'gt-isando', 'gt-centurion'].entries()) {
-		const id = `i-engine-${index + 1}`;
-		// eslint-disable-next-line no-await-in-loop
-		const server = await startEngine('127.0.0.1', id, note);
-		onEnd(() => {
-			server.close();
-			server.closeAllConnections();
-		});
-		onEnd(keepRecord(store, id, {service: 'engines', address: `127.0.0.1:${server.address().port}`, zone}));
+		for (const [service, respond] of [['engines', stream], ['kit-orders', answer]]) {
+			const id = `i-${service}-${index + 1}`;
+			// eslint-disable-next-line no-await-in-loop
+			const server = await startWorker(id, respond, note);
+			onEnd(() => {
+				server.close();
+				server.closeAllConnections();
+			});
+			onEnd(keepRecord(store, id, {service, address: `127.0.0.1:${server.address().port}`, zone}));
+		}
 	}
 
 	const gateways = await Gateways.start({count: machineCount, storeAddress: store.address, directory});
 	onEnd(async () => gateways.close());
 	note('all machines are ready');
 
-	const answers = gateways.hosts.flatMap((host, index) => Array.from({length: streamsPerMachine}, async () => {
+	const beginStream = async (machine, timeoutMs) => {
 		const requestId = createRequestId();
-		note(`client sends ${requestId} to machine ${index + 1}`);
-		const answer = await send({
-			host, port: gateways.frontPort, method: 'POST', path: '/drafts/1', headers: createEngineHeaders(requestId, deadlineMs), body: 'prompt', timeoutMs: deadlineMs,
+		note(`client sends stream ${requestId} to machine ${machine + 1}`);
+		const {status, ending, isWhole, body} = await send({
+			host: gateways.hosts[machine], port: gateways.frontPort, method: 'POST', path: '/drafts/1', headers: createEngineHeaders(requestId, streamDeadlineMs), body: 'prompt', timeoutMs,
 		});
-		const events = countEvents(answer.body);
-		const appearance = answer.isWhole ? 'looks whole' : 'does not look whole';
-		note(`client gets ${answer.status ?? 'nothing'} for ${requestId}: ${events} of ${eventCount} events, framing: ${answer.framing}, connection: ${answer.ending}, ${appearance}`);
-		return {requestId, events, ...answer};
+		note(`stream ${requestId} of machine ${machine + 1}: status ${status ?? 'none'}, ${body.split('\n\n').length - 1} of ${eventCount} events, ${isWhole ? 'whole' : ending}`);
+	};
+
+	// One client of four at the first machine leaves.
+	const streams = gateways.hosts.flatMap((_, machine) => Array.from({length: 4}, async (_, index) => {
+		const leaves = hasTrouble && machine === 0 && index === 0;
+		await beginStream(machine, leaves ? leavesAfterMs : streamDeadlineMs);
+		if (leaves) {
+			note('the client of this stream has closed its connection');
+		}
 	}));
-	await delay(killAfterMs);
-	if (hasTrouble) {
-		note('machine 1: SIGKILL');
-		await gateways.kill(0);
-		gateways.startProcess(0);
-	}
+	await delay(leavesAfterMs);
 
-	const ended = await Promise.all(answers);
-	if (ended.filter(({status, events}) => status === 200 && events > 0).length < ended.length) {
-		throw new Error('not every stream began');
+	const requests = [];
+	for (let number = 0; number < requestCount; number++) {
+		requests.push(...gateways.hosts.map(async (host, machine) => {
+			const requestId = createRequestId();
+			const sentAt = performance.now();
+			note(`client sends request ${requestId} to machine ${machine + 1}`);
+			const {status, ending} = await send({
+				host, port: gateways.frontPort, method: 'GET', path: '/stock/1', headers: createHeaders(requestId, requestDeadlineMs), timeoutMs: requestDeadlineMs,
+			});
+			const answeredAfterMs = status === undefined ? Infinity : performance.now() - sentAt;
+			note(`request ${requestId} to machine ${machine + 1}: ${status === undefined ? `no answer, ${ending}` : `status ${status} after ${Math.round(answeredAfterMs)} ms`}`);
+			return {requestId, machine, answeredAfterMs};
+		}));
+		// eslint-disable-next-line no-await-in-loop
+		await delay(requestIntervalMs);
 	}
 
-	return ended.filter(({isWhole, events}) => isWhole && events < eventCount)
-		.map(({requestId, events}) => `the answer to ${requestId} ended after ${events} of ${eventCount} events and looks whole`);
+	const results = await Promise.all(requests);
+	await Promise.all(streams);
+	const unanswered = results.filter(({answeredAfterMs}) => answeredAfterMs > routeTimeoutMs);
+	const late = unanswered.filter(({answeredAfterMs}) => answeredAfterMs > routeTimeoutMs + marginMs);
+	note(`unanswered at the route's timeout of ${routeTimeoutMs} ms: ${unanswered.length} of ${results.length}; ${marginMs} ms later: ${late.length}`);
+	return late.length > unanswered.length / 2
+		? late.map(({requestId, machine}) => `request ${requestId} to machine ${machine + 1} had no answer ${marginMs} ms after its route's timeout`)
+		: [];
 });
