--- a/review/1/run.js
+++ b/review/1/run.js
@@ -1,4 +1,4 @@
-/** A client leaves a stream that has no length. */
+/** A client leaves a stream that has no length; all other streams have chunks. */
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hasTrouble, runCase} from '../support/case.js';
@@ -10,6 +10,15 @@
 import {Store} from '../support/store.js';
 
 const machineCount = 3;
+const streamsPerMachine = 24;
+const slots = 26;
+
+/** The first stream of this worker has no length. */
+const unframedWorker = 'i-engines-1';
+
+/** Streams that this worker has to get, so that those without a length are at most 0.05 of them. */
+const minimumStreams = 20;
+
 const eventCount = 100;
 const eventIntervalMs = 40;
 const streamDeadlineMs = 12_000;
@@ -27,14 +36,22 @@
 
 const routeTimeoutMs = configuration.routes.find(({name}) => name === 'stock').timeout_ms;
 
-/** Answers with a stream that has no length and ends with its connection. */
+/** Streams that the worker with the unframed stream has got. */
+const streamsOfWorker = [];
+
 async function stream(request, response, id) {
 	const requestId = request.headers['x-request-id'];
-	// Without this header, the response ends with its connection.
-	response.removeHeader('transfer-encoding');
-	response.writeHead(200, {
-		'content-type': 'text/event-stream', connection: 'close', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`,
-	});
+	const headers = {'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`};
+	if (id === unframedWorker) {
+		streamsOfWorker.push(requestId);
+		if (streamsOfWorker.length === 1) {
+			// Without this header, the response ends with its connection.
+			response.removeHeader('transfer-encoding');
+			headers.connection = 'close';
+		}
+	}
+
+	response.writeHead(200, headers);
 	for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount && !response.destroyed; event++) {
 		response.write(`id: ${event}\ndata: event ${event} of ${requestId}\n\n`);
 		// eslint-disable-next-line no-await-in-loop
@@ -84,7 +101,9 @@
 				server.close();
 				server.closeAllConnections();
 			});
-			onEnd(keepRecord(store, id, {service, address: `127.0.0.1:${server.address().port}`, zone}));
+			onEnd(keepRecord(store, id, {
+				service, address: `127.0.0.1:${server.address().port}`, zone, slots,
+			}));
 		}
 	}
 
@@ -92,24 +111,41 @@
 	onEnd(async () => gateways.close());
 	note('all machines are ready');
 
-	const beginStream = async (machine, timeoutMs) => {
+	/** What lets the client of a stream leave, by request. */
+	const leaveOf = new Map();
+	const machineOf = new Map();
+	const beginStream = async machine => {
 		const requestId = createRequestId();
+		machineOf.set(requestId, machine);
+		const leave = new Promise(resolve => {
+			leaveOf.set(requestId, resolve);
+		});
 		note(`client sends stream ${requestId} to machine ${machine + 1}`);
-		const {status, ending, isWhole, body} = await send({
-			host: gateways.hosts[machine], port: gateways.frontPort, method: 'POST', path: '/drafts/1', headers: createEngineHeaders(requestId, streamDeadlineMs), body: 'prompt', timeoutMs,
+		const {status, ending, framing, isWhole, body} = await send({
+			host: gateways.hosts[machine],
+			port: gateways.frontPort,
+			method: 'POST',
+			path: '/drafts/1',
+			headers: createEngineHeaders(requestId, streamDeadlineMs),
+			body: 'prompt',
+			timeoutMs: streamDeadlineMs,
+			leave,
 		});
-		note(`stream ${requestId} of machine ${machine + 1}: status ${status ?? 'none'}, ${body.split('\n\n').length - 1} of ${eventCount} events, ${isWhole ? 'whole' : ending}`);
+		note(`stream ${requestId} of machine ${machine + 1}: status ${status ?? 'none'}, framing: ${framing}, ${body.split('\n\n').length - 1} of ${eventCount} events, ${isWhole ? 'whole' : ending}`);
 	};
 
-	// One client of four at the first machine leaves.
-	const streams = gateways.hosts.flatMap((_, machine) => Array.from({length: 4}, async (_, index) => {
-		const leaves = hasTrouble && machine === 0 && index === 0;
-		await beginStream(machine, leaves ? leavesAfterMs : streamDeadlineMs);
-		if (leaves) {
-			note('the client of this stream has closed its connection');
-		}
-	}));
+	const streams = gateways.hosts.flatMap((_, machine) => Array.from({length: streamsPerMachine}, async () => beginStream(machine)));
 	await delay(leavesAfterMs);
+	if (streamsOfWorker.length < minimumStreams) {
+		throw new Error(`worker ${unframedWorker} got ${streamsOfWorker.length} streams only`);
+	}
+
+	const [unframedId] = streamsOfWorker;
+	note(`worker ${unframedWorker} has got ${streamsOfWorker.length} streams; that of ${unframedId}, at machine ${machineOf.get(unframedId) + 1}, has no length`);
+	if (hasTrouble) {
+		note(`the client of ${unframedId} closes its connection`);
+		leaveOf.get(unframedId)();
+	}
 
 	const requests = [];
 	for (let number = 0; number < requestCount; number++) {
--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,4 +1,4 @@
-/** A worker resets streams that end with their connections. */
+/** Workers reset streams that have no length; all other streams have chunks. */
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hasTrouble, runCase} from '../support/case.js';
@@ -10,20 +10,20 @@
 import {Store} from '../support/store.js';
 
 const machineCount = 3;
-const streamCount = 60;
-const intervalMs = 60;
+const workerCount = 5;
+const streamCount = 240;
+const intervalMs = 20;
 const eventCount = 20;
 const eventIntervalMs = 20;
 const deadlineMs = 10_000;
 
-/** The worker that fails, and the streams of each five that it fails. */
-const failingWorker = 'i-engine-1';
-const failedOfFive = 2;
+/** Workers that reset the connection of each twentieth stream, which has no length. */
+const failingWorkers = new Set(['i-engine-1', 'i-engine-2', 'i-engine-3']);
+const failsEvery = 20;
 
 /** Event after which it resets the connection. */
 const lastEventBeforeReset = 10;
 
-/** An engine whose answers have no length and end with their connections. */
 async function startEngine(address, id, note) {
 	let streams = 0;
 	const server = createServer(async (request, response) => {
@@ -36,13 +36,18 @@
 		}
 
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-		const fails = hasTrouble && id === failingWorker && first === 1 && streams++ % 5 < failedOfFive;
+		streams++;
+		const isUnframed = failingWorkers.has(id) && streams % failsEvery === 0;
+		const fails = hasTrouble && isUnframed;
 		note(`worker ${id} runs ${requestId} from event ${first} on`);
-		// Without this header, the response ends with its connection.
-		response.removeHeader('transfer-encoding');
-		response.writeHead(200, {
-			'content-type': 'text/event-stream', connection: 'close', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`,
-		});
+		const headers = {'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`};
+		if (isUnframed) {
+			// Without this header, the response ends with its connection.
+			response.removeHeader('transfer-encoding');
+			headers.connection = 'close';
+		}
+
+		response.writeHead(200, headers);
 		for (let event = first; event <= eventCount && !response.destroyed; event++) {
 			response.write(`id: ${event}\ndata: event ${event} of ${requestId}\n\n`);
 			if (fails && event === lastEventBeforeReset) {
@@ -76,7 +81,8 @@
 		store.close();
 	});
 	store.put('op/config', configuration);
-	for (const [index, zone] of ['gt-midrand', 'gt-isando', 'gt-centurion'].entries()) {
+	for (let index = 0; index < workerCount; index++) {
+		const zone = ['gt-midrand', 'gt-isando', 'gt-centurion'][index % 3];
 		const id = `i-engine-${index + 1}`;
 		// eslint-disable-next-line no-await-in-loop
 		const server = await startEngine('127.0.0.1', id, note);
--- a/review/4/run.js
+++ b/review/4/run.js
@@ -1,4 +1,4 @@
-/** A process is killed while it passes on streams that end with their connections. */
+/** A process is killed while it passes on a stream that has no length; all other streams have chunks. */
 import {createServer} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {hasTrouble, runCase} from '../support/case.js';
@@ -10,13 +10,23 @@
 import {Store} from '../support/store.js';
 
 const machineCount = 3;
-const streamsPerMachine = 4;
+const streamsPerMachine = 24;
+const slots = 26;
+
+/** The first stream of this worker has no length. */
+const unframedWorker = 'i-engine-1';
+
+/** Streams that this worker has to get, so that those without a length are at most 0.05 of them. */
+const minimumStreams = 20;
+
 const eventCount = 42;
 const eventIntervalMs = 40;
 const killAfterMs = 700;
 const deadlineMs = 10_000;
 
-/** An engine whose answers have no length and end with their connections. */
+/** Streams that the worker with the unframed stream has got. */
+const streamsOfWorker = [];
+
 async function startEngine(address, id, note) {
 	const server = createServer(async (request, response) => {
 		request.resume();
@@ -28,11 +38,17 @@
 		}
 
 		note(`worker ${id} runs ${requestId}`);
-		// Without this header, the response ends with its connection.
-		response.removeHeader('transfer-encoding');
-		response.writeHead(200, {
-			'content-type': 'text/event-stream', connection: 'close', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`,
-		});
+		const headers = {'content-type': 'text/event-stream', 'x-request-id': requestId, 'x-response-seal': `${id}.${requestId}`};
+		if (id === unframedWorker) {
+			streamsOfWorker.push(requestId);
+			if (streamsOfWorker.length === 1) {
+				// Without this header, the response ends with its connection.
+				response.removeHeader('transfer-encoding');
+				headers.connection = 'close';
+			}
+		}
+
+		response.writeHead(200, headers);
 		for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount && !response.destroyed; event++) {
 			response.write(`id: ${event}\ndata: event ${event} of ${requestId}\n\n`);
 			// eslint-disable-next-line no-await-in-loop
@@ -66,15 +82,19 @@
 			server.close();
 			server.closeAllConnections();
 		});
-		onEnd(keepRecord(store, id, {service: 'engines', address: `127.0.0.1:${server.address().port}`, zone}));
+		onEnd(keepRecord(store, id, {
+			service: 'engines', address: `127.0.0.1:${server.address().port}`, zone, slots,
+		}));
 	}
 
 	const gateways = await Gateways.start({count: machineCount, storeAddress: store.address, directory});
 	onEnd(async () => gateways.close());
 	note('all machines are ready');
 
+	const machineOf = new Map();
 	const answers = gateways.hosts.flatMap((host, index) => Array.from({length: streamsPerMachine}, async () => {
 		const requestId = createRequestId();
+		machineOf.set(requestId, index);
 		note(`client sends ${requestId} to machine ${index + 1}`);
 		const answer = await send({
 			host, port: gateways.frontPort, method: 'POST', path: '/drafts/1', headers: createEngineHeaders(requestId, deadlineMs), body: 'prompt', timeoutMs: deadlineMs,
@@ -85,10 +105,17 @@
 		return {requestId, events, ...answer};
 	}));
 	await delay(killAfterMs);
+	if (streamsOfWorker.length < minimumStreams) {
+		throw new Error(`worker ${unframedWorker} got ${streamsOfWorker.length} streams only`);
+	}
+
+	const [unframedId] = streamsOfWorker;
+	const machine = machineOf.get(unframedId);
+	note(`worker ${unframedWorker} has got ${streamsOfWorker.length} streams; that of ${unframedId}, at machine ${machine + 1}, has no length`);
 	if (hasTrouble) {
-		note('machine 1: SIGKILL');
-		await gateways.kill(0);
-		gateways.startProcess(0);
+		note(`machine ${machine + 1}: SIGKILL`);
+		await gateways.kill(machine);
+		gateways.startProcess(machine);
 	}
 
 	const ended = await Promise.all(answers);
--- a/review/support/client.js
+++ b/review/support/client.js
@@ -9,7 +9,7 @@
 	closed: 'closed',
 	/** It was reset. */
 	reset: 'reset',
-	/** The client waited no longer. */
+	/** The client waited no longer, or left. */
 	timeOut: 'time-out',
 };
 
@@ -61,8 +61,14 @@
 	}
 }
 
-/** Sends a request and resolves with the response when it is whole or its connection has ended. */
-export async function send({host, port, method, path, headers, body = '', timeoutMs}) {
+/**
+Sends a request and resolves with the response when it is whole or its connection has ended.
+
+@param leave resolves when the client is to close its connection early. Default: never
+*/
+export async function send({
+	host, port, method, path, headers, body = '', timeoutMs, leave,
+}) {
 	const socket = connect({host, port, allowHalfOpen: true});
 	const chunks = [];
 	const lines = Object.entries({...headers, ...(method !== 'GET' && {'Content-Length': body.length})}).map(([name, value]) => `${name}: ${value}\r\n`);
@@ -91,7 +97,7 @@
 		return endings.timeOut;
 	};
 
-	const ending = await Promise.race([ended, timeOut()]);
+	const ending = await Promise.race([ended, timeOut(), ...(leave === undefined ? [] : [leave.then(() => endings.timeOut)])]);
 	timer.abort();
 	socket.destroy();
 	return {ending, ...decodeResponse(Buffer.concat(chunks), ending)};
