--- a/review/3/run.js
+++ b/review/3/run.js
@@ -11,8 +11,8 @@
 
 const machineCount = 3;
 const workerCount = 4;
-const streamCount = 240;
-const intervalMs = 20;
+const streamCount = 480;
+const intervalMs = 10;
 const eventCount = 20;
 const eventIntervalMs = 20;
 const deadlineMs = 10_000;
