--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -30,7 +30,7 @@
 	/** Returns the connection to the pool, or closes it. */
 	release(isReusable: boolean): void;
 	/** Resets the connection and returns it to no pool. What the operating system has not sent is dropped. */
-	reset(): void;
+	reset(error: Error): void;
 };
 
 export type EndpointConnectionPoolOptions = {
@@ -94,9 +94,9 @@
 				pooled.socket?.recordChunk();
 			},
 			release,
-			reset() {
+			reset(error) {
 				if (!isReleased) {
-					pooled.socket?.resetAndDestroy();
+					pooled.socket?.resetWith(error);
 					release(false);
 				}
 			},
--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -77,7 +77,7 @@
 	/** Ends the exchange and closes its connection. A request that has not been written yet is never written, and what has not been sent of one is dropped. */
 	cancel(error: Error): void {
 		if (this.#isSent && !this.#isEnded) {
-			this.options.connection.reset();
+			this.options.connection.reset(error);
 		}
 
 		this.#end({kind: 'cancelled', error});
--- a/src/gateway/forwarding/paced-socket.ts
+++ b/src/gateway/forwarding/paced-socket.ts
@@ -22,6 +22,17 @@
 	#chunkCount = 0;
 	#byteCount = 0;
 	#isRoundEndAwaited = false;
+	#resetError: Error | undefined;
+
+	/** Resets the connection. Without the error, the HTTP client would take the closed socket for the end of a response without a length. */
+	resetWith(error: Error): void {
+		this.#resetError = error;
+		this.resetAndDestroy();
+	}
+
+	override destroy(error?: Error): this {
+		return super.destroy(error ?? this.#resetError);
+	}
 
 	/** Records that a chunk of a response has been processed. */
 	recordChunk(): void {
