--- a/src/gateway/callers/http-response.ts
+++ b/src/gateway/callers/http-response.ts
@@ -24,18 +24,18 @@
 		return new HttpResponse(response, options);
 	}
 
-	#isFramed = true;
+	/** Whether the end of the connection ends the response. */
+	#endsWithConnection = false;
 	/** Writes since the caller had read everything. */
 	#pendingWrites = 0;
 
 	private constructor(private readonly response: ServerResponse, private readonly options: HttpResponseOptions) {}
 
-	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void {
+	writeHead(status: number, headers: Record<string, string | string[]>): void {
 		this.#closeIfRequired();
-		this.#isFramed = isFramed;
-		if (!isFramed) {
-			// Without this header, node:http ends the response by closing its connection.
-			this.response.removeHeader('transfer-encoding');
+		// HTTP/1.0 has no chunks.
+		this.#endsWithConnection = !this.response.useChunkedEncodingByDefault && headers['content-length'] === undefined;
+		if (this.#endsWithConnection) {
 			this.options.announceClose();
 		}
 
@@ -61,8 +61,8 @@
 	}
 
 	destroy(): void {
-		if (!this.#isFramed) {
-			// The end of the connection ends a response without a length, so only a reset shows that it is incomplete.
+		if (this.#endsWithConnection) {
+			// Only a reset shows that it is incomplete.
 			this.response.socket?.resetAndDestroy();
 		}
 
--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -55,8 +55,6 @@
 	readonly sentAt: Milliseconds;
 	/** Whether the caller has already received events of the stream from another endpoint. */
 	readonly isContinuation: boolean;
-	/** Whether the caller has received the head of a response that ends with its connection. */
-	readonly isCallerResponseUnframed: boolean;
 };
 
 /** Bytes of a stream that can be forwarded to the caller. */
@@ -127,11 +125,6 @@
 		return this.#statement;
 	}
 
-	/** Whether the response says where it ends. */
-	get isFramed(): boolean {
-		return this.#isFramed;
-	}
-
 	/** When the head or the last event with an id was received; before that, when the request was sent. Bytes that complete no such event are no progress, because the caller waits for events. */
 	get lastProgressAt(): Milliseconds {
 		return this.#lastProgressAt;
@@ -204,10 +197,10 @@
 		return this.#kind === responseKinds.relay || (this.#kind === responseKinds.failed && !this.isContinuation && !this.#isRefusal);
 	}
 
-	/** Whether a success ended with its connection before its body began. An endpoint that means an empty body states its length; only a continued stream may have no further events, if the end of its connection is all that its caller gets, too. */
+	/** Whether a success ended with its connection before its body began. An endpoint that means an empty body states its length. */
 	get #isBodyMissing(): boolean {
-		const {method, isCallerResponseUnframed} = this.options;
-		return this.isSuccess && !this.#isFramed && this.#bodyBytes === 0 && !isCallerResponseUnframed && method !== 'HEAD' && !statusesWithoutBody.has(this.#head!.status);
+		const {method} = this.options;
+		return this.isSuccess && !this.#isFramed && this.#bodyBytes === 0 && method !== 'HEAD' && !statusesWithoutBody.has(this.#head!.status);
 	}
 
 	/**
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -53,8 +53,6 @@
 	readonly #crashObservations: CrashObservations;
 	#sendCount = 0;
 	#isHeadSent = false;
-	/** Whether the caller's response ends with its connection. */
-	#isResponseUnframed = false;
 	#firstResponseMs: Milliseconds | undefined;
 	#lastEventId: string | undefined;
 	/** When the last event of a stream was forwarded. */
@@ -294,7 +292,6 @@
 			memory: context.responseMemory,
 			sentAt: now,
 			isContinuation: this.#isHeadSent,
-			isCallerResponseUnframed: this.#isResponseUnframed,
 		});
 		this.#attempt = attempt;
 		if (endpoint === undefined) {
@@ -450,9 +447,8 @@
 	/** Sends the head once; a stream that continues at another endpoint keeps the head of its first response. */
 	#sendHead(attempt: Attempt): void {
 		if (!this.#isHeadSent) {
-			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers), attempt.isFramed);
+			this.response.writeHead(attempt.head!.status, this.context.protocol.encodeCallerHeaders(attempt.head!.headers));
 			this.#isHeadSent = true;
-			this.#isResponseUnframed = !attempt.isFramed;
 		}
 	}
 
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -14,8 +14,8 @@
 
 /** The response to the caller. */
 export type CallerResponse = {
-	/** @param isFramed false when closing the connection ends the response, as with the endpoint's response */
-	writeHead(status: number, headers: Record<string, string | string[]>, isFramed: boolean): void;
+	/** A body without a length is sent in chunks, so that only its last one ends it, not the death of this process. */
+	writeHead(status: number, headers: Record<string, string | string[]>): void;
 	write(chunk: Uint8Array): void;
 	end(chunk?: Uint8Array): void;
 	/** Closes the connection so that the response does not look complete. */
