--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -36,7 +36,7 @@
 	relay: 'relay',
 	/** The endpoint states that it did not run the request. */
 	rejected: 'rejected',
-	/** The endpoint ran the request and failed, or did not continue the stream. */
+	/** The endpoint may have run the request and failed, or did not continue the stream. */
 	failed: 'failed',
 	/** A response to another or an unnamed request, such as a late second copy, or one that the endpoint did not send in this form: it is unsigned or content-encoded. */
 	foreign: 'foreign',
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -14,7 +14,7 @@
 
 /** The response to the caller. */
 export type CallerResponse = {
-	/** A body without a length is sent in chunks, so that only its last one ends it, not the death of this process. */
+	/** A body without a length is sent in chunks, so that it doesn't look complete when this process dies. */
 	writeHead(status: number, headers: Record<string, string | string[]>): void;
 	write(chunk: Uint8Array): void;
 	end(chunk?: Uint8Array): void;
--- a/test/gateway/forwarding/exchange.test.ts
+++ b/test/gateway/forwarding/exchange.test.ts
@@ -71,50 +71,41 @@
 	t.is(end.kind, 'complete');
 });
 
-const resets = {
-	'a reset': (socket: Socket) => socket.resetAndDestroy(),
-	'a reset because the endpoint has left the request unread': (socket: Socket) => socket.destroy(),
-} as const;
+/** Has the endpoint write the last data and end its connection in one step, so that both are read together. */
+async function sendAndEnd(t: ExecutionContext, response: string, end: (socket: Socket) => void): Promise<ExchangeEnd> {
+	const listener = await listen(t, response);
+	let isEnding = false;
+	return send(listener, () => {
+		if (!isEnding) {
+			isEnding = true;
+			listener.socket().write('more');
+			end(listener.socket());
+		}
+	});
+}
 
-for (const [what, reset] of Object.entries(resets)) {
+for (const [what, reset] of Object.entries({
+	'a reset'(socket: Socket) {
+		socket.resetAndDestroy();
+	},
+	'a reset because the endpoint has left the request unread'(socket: Socket) {
+		socket.destroy();
+	},
+})) {
 	// Guards against a response that was cut off and is taken for whole, because Node.js reports no error for a reset that it reads together with data.
 	test(`a response without a length is broken when ${what} is read together with its last data`, async t => {
-		const listener = await listen(t, unframedResponse);
-		let isEnding = false;
-		const end = await send(listener, () => {
-			if (!isEnding) {
-				isEnding = true;
-				listener.socket().write('more');
-				reset(listener.socket());
-			}
-		});
-		t.is(end.kind, 'broken');
+		t.like(await sendAndEnd(t, unframedResponse, reset), {kind: 'broken'});
 	});
 
 	test(`a response with a length is complete when ${what} is read together with its last data`, async t => {
-		const listener = await listen(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 8\r\n\r\npart');
-		let isEnding = false;
-		const end = await send(listener, () => {
-			if (!isEnding) {
-				isEnding = true;
-				listener.socket().write('more');
-				reset(listener.socket());
-			}
-		});
-		t.is(end.kind, 'complete');
+		t.like(await sendAndEnd(t, 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 8\r\n\r\npart', reset), {kind: 'complete'});
 	});
 }
 
 test('a response without a length is complete when an orderly end is read together with its last data', async t => {
-	const listener = await listen(t, unframedResponse);
-	let isEnding = false;
-	const end = await send(listener, () => {
-		if (!isEnding) {
-			isEnding = true;
-			listener.socket().end('more');
-		}
-	});
-	t.is(end.kind, 'complete');
+	t.like(await sendAndEnd(t, unframedResponse, socket => {
+		socket.end();
+	}), {kind: 'complete'});
 });
 
 test('a response that is shorter than its content length is broken', async t => {
