--- a/src/gateway/forwarding/paced-socket.ts
+++ b/src/gateway/forwarding/paced-socket.ts
@@ -36,7 +36,7 @@
 		return this.#wasReset;
 	}
 
-	/** Called with null at the end of the data: after an orderly end the connection still has a peer. The socket keeps an address that has been read, so nothing may read it before. */
+	/** Null marks the end of the data. A connection that was ended in order still has a peer then, one that was reset has none. `remoteAddress` must not be read earlier, because the socket caches it. */
 	override push(chunk: unknown, encoding?: BufferEncoding): boolean {
 		if (chunk === null && !this.destroyed) {
 			this.#wasReset = this.remoteAddress === undefined;
--- a/test/deploy/bundle.test.ts
+++ b/test/deploy/bundle.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava';
 import {GatewayBundle} from '../fixtures/gateway/gateway-program.js';
 
-/** Position in a line up to which Node.js describes a failed assertion within a tenth of a second. */
+/** Only strings make a line longer than the limit of the bundler. */
 const maximumLineLength = 2048;
 
 // Guards against one failed assertion in a library that stops the process for half a minute, because Node.js parses its line for the message.
--- a/test/gateway/callers/killed-process.test.ts
+++ b/test/gateway/callers/killed-process.test.ts
@@ -1,7 +1,7 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import anyTest, {type TestFn} from 'ava';
 import {GatewayBundle} from '../../fixtures/gateway/gateway-program.js';
 import {ProgramSite} from '../../fixtures/gateway/program-site.js';
+import {RawCaller} from '../../fixtures/gateway/raw-caller.js';
 import {unframedHead} from '../../fixtures/gateway/raw-endpoint.js';
 import {until} from '../../fixtures/until.js';
 
@@ -24,12 +24,14 @@
 			socket.write(unframedHead(requestId) + events[0]! + events[1]!);
 		});
 		t.teardown(async () => site.dispose());
-		const response = site.send(path);
-		await until(() => site.endpoint.requestIds.length === 1);
-		// The caller has received the events by then.
-		await delay(100);
+		const caller = await RawCaller.connect(site.settings.callerAddress);
+		caller.write(`POST ${path} HTTP/1.1\r\nHost: office.example\r\nX-Request-Id: killed\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer key-wick\r\nContent-Length: 1\r\n\r\nx`);
+		await until(() => caller.text.includes(events[1]!));
 		site.program.child.kill('SIGKILL');
-		t.like(await response, {status: 200, isComplete: false, body: events[0]! + events[1]!});
+		await caller.waitForEnd();
+		t.regex(caller.text, /^HTTP\/1\.1 200 .*transfer-encoding: chunked\r\n/isv);
+		t.true(caller.text.includes(events[1]!));
+		t.false(caller.text.endsWith('0\r\n\r\n'), 'the last chunk is missing');
 	});
 
 	test(`a stream at ${path} without a length is whole when its endpoint ends it in order`, async t => {
--- a/test/gateway/forwarding/unmarked-refusals.test.ts
+++ b/test/gateway/forwarding/unmarked-refusals.test.ts
@@ -6,7 +6,7 @@
 
 type Respond = (requestId: string) => string;
 
-/** Starts a gateway and one endpoint of both services for each responder. */
+/** Starts a gateway, and an endpoint of the service for each responder. */
 async function startSite(t: ExecutionContext, service: string, ...responders: Respond[]): Promise<{gateway: Gateway; endpoints: RawEndpoint[]}> {
 	const site = await GatewaySite.start();
 	t.teardown(async () => site.dispose());
