--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -16,6 +16,9 @@
 /** Longest idle time of a connection that is reused for a non-retryable request: an endpoint may close an idle connection without notice. */
 const nonRetryableIdleMs: Milliseconds = 1000;
 
+/** Which connection a request was written to, and which of its requests it was, from 1. */
+export type ConnectionPosition = {readonly connection?: number; readonly connectionRequest: number};
+
 /** A connection to an endpoint, which carries one request at a time. */
 export type EndpointConnection = {
 	readonly client: Dispatcher;
@@ -25,6 +28,8 @@
 	wasReset(): boolean;
 	/** Bytes received since the connection was acquired, including those that belong to no response. */
 	receivedBytes(): number;
+	/** For logs. */
+	position(): ConnectionPosition;
 	/** Records that a chunk of the response has been processed. A connection with many chunks lets others go first. */
 	recordChunk(): void;
 	/** Returns the connection to the pool, or closes it. */
@@ -46,6 +51,8 @@
 	socket: PacedSocket | undefined;
 	/** Whether its latest connection had a socket error. */
 	hasFailed: boolean;
+	/** Requests for which its latest connection was acquired. */
+	requestCount: number;
 	lastUsedAt: Milliseconds;
 };
 
@@ -70,6 +77,7 @@
 		const pooled = this.#takeIdle(isRetryable ? Infinity : nonRetryableIdleMs) ?? this.#open();
 		const {client, socket} = pooled;
 		const bytesBefore = socket?.bytesRead ?? 0;
+		pooled.requestCount++;
 		let isReleased = false;
 		const release = (isReusable: boolean) => {
 			if (isReleased) {
@@ -90,6 +98,7 @@
 			wasReset: () => pooled.hasFailed || pooled.socket?.wasReset === true,
 			// The client may open a new connection for the request; its count starts at 0.
 			receivedBytes: () => (pooled.socket?.bytesRead ?? 0) - (pooled.socket === socket ? bytesBefore : 0),
+			position: () => ({connection: pooled.socket?.number, connectionRequest: pooled.requestCount}),
 			recordChunk() {
 				pooled.socket?.recordChunk();
 			},
@@ -145,6 +154,7 @@
 				onSocket: socket => {
 					this.options.onConnect();
 					pooled.hasFailed = false;
+					pooled.requestCount = 1;
 					pooled.socket = socket;
 					socket.setNoDelay(true);
 					socket.on('error', () => {
@@ -164,7 +174,7 @@
 			pipelining: 1,
 		});
 		const pooled: PooledClient = {
-			client, socket: undefined, hasFailed: false, lastUsedAt: this.options.clock.now(),
+			client, socket: undefined, hasFailed: false, requestCount: 0, lastUsedAt: this.options.clock.now(),
 		};
 		this.#clients.add(client);
 		return pooled;
--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -2,7 +2,7 @@
 import {ConnectTimeoutError} from '../../shared/connector.js';
 import {toError} from '../../shared/describe-error.js';
 import {isFramed} from '../../shared/http-framing.js';
-import type {EndpointConnection} from './endpoint-connection-pool.js';
+import type {ConnectionPosition, EndpointConnection} from './endpoint-connection-pool.js';
 
 export type ResponseHead = {
 	readonly status: number;
@@ -76,6 +76,10 @@
 		return this.options.connection.receivedBytes();
 	}
 
+	get position(): ConnectionPosition {
+		return this.options.connection.position();
+	}
+
 	/** Ends the exchange and closes its connection. A request that has not been written yet is never written, and what has not been sent of one is dropped. */
 	cancel(error: Error): void {
 		if (this.#isSent && !this.#isEnded) {
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -418,8 +418,9 @@
 		}
 
 		if (attempt.kind === responseKinds.foreign) {
+			this.context.onForeignAnswer();
 			this.context.log.event('foreign-answer', {
-				requestId: this.requestId, endpoint: attempt.endpointId, answerTo: foreignRequestId, status: head.status,
+				requestId: this.requestId, endpoint: attempt.endpointId, answerTo: foreignRequestId, status: head.status, ...attempt.exchange?.position,
 			});
 			attempt.exchange?.cancel(new Error('the response is not the one that the endpoint sent to this request'));
 		}
@@ -513,6 +514,7 @@
 			reason: attempt.obstacle ?? ('error' in end ? end.error.message : undefined),
 			afterMs: Math.round(now - attempt.sentAt),
 			events: attempt.eventCount,
+			...attempt.exchange?.position,
 		});
 		if (end.kind === 'invalid') {
 			this.#fail({type: this.#possiblyRunBy.size === 0 ? 'malformedRequest' : 'endpointFailed'});
--- a/src/gateway/forwarding/paced-socket.ts
+++ b/src/gateway/forwarding/paced-socket.ts
@@ -19,6 +19,10 @@
 		return new PacedSocket();
 	}
 
+	static #lastNumber = 0;
+
+	/** Identifies the connection in the logs of this process. */
+	readonly number = ++PacedSocket.#lastNumber;
 	#chunkCount = 0;
 	#byteCount = 0;
 	#isRoundEndAwaited = false;
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -98,6 +98,8 @@
 	/** @param completedSentAt when the request was sent, if the response is a success */
 	readonly recordStatement: (endpoint: EndpointRecord, statement: EndpointStatement, completedSentAt?: Milliseconds) => void;
 	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
+	/** Called when a response does not belong to the request that was due, or is not the endpoint's own. */
+	readonly onForeignAnswer: () => void;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	/** Called when the request was neither waiting nor in an attempt, or both. */
 	readonly onInvalidState: () => void;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -376,6 +376,9 @@
 			recordStatement: (endpoint, statement, completedSentAt) => {
 				this.#restrictions.record(endpoint, statement, completedSentAt);
 			},
+			onForeignAnswer: () => {
+				this.#metrics.recordForeignAnswer();
+			},
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
 			},
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -56,6 +56,10 @@
 		name: 'jackdawfork_endpoint_attempts_total', help: 'Attempts at endpoints by how they ended', labelNames: ['outcome'], registers: [this.#registry],
 	});
 
+	readonly #foreignAnswers = new Counter({
+		name: 'jackdawfork_foreign_answers_total', help: 'Responses that belong to another request than the one that was due, or are not the endpoint\'s own', registers: [this.#registry],
+	});
+
 	readonly #storeReads = new Histogram({
 		name: 'jackdawfork_store_read_seconds', help: 'Time of a complete reading of the store', labelNames: ['outcome'], buckets: storeBuckets, registers: [this.#registry],
 	});
@@ -115,6 +119,10 @@
 		this.#attempts.inc({outcome});
 	}
 
+	recordForeignAnswer(): void {
+		this.#foreignAnswers.inc();
+	}
+
 	recordStoreRead(outcome: string, durationMs: Milliseconds): void {
 		this.#storeReads.observe({outcome}, durationMs / 1000);
 	}
