--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -197,6 +197,11 @@
 		return this.#kind === responseKinds.relay || (this.#kind === responseKinds.failed && !this.isContinuation && !this.#isRefusal);
 	}
 
+	/** Whether the endpoint turned the request away, whether or not it stated that it did not run it. A copy of such a response may follow, ahead of the answer to the next request on the connection. */
+	get isRefused(): boolean {
+		return this.#kind === responseKinds.rejected || this.#isRefusal;
+	}
+
 	/** Whether a success ended with its connection before its body began. An endpoint that means an empty body states its length. */
 	get #isBodyMissing(): boolean {
 		const {method} = this.options;
--- a/src/gateway/forwarding/exchange.ts
+++ b/src/gateway/forwarding/exchange.ts
@@ -39,6 +39,8 @@
 	readonly maySend: () => boolean;
 	readonly onHead: (head: ResponseHead) => void;
 	readonly onData: (chunk: Uint8Array) => void;
+	/** Whether the connection may carry another request after this response, which is complete. */
+	readonly keepsConnection: () => boolean;
 	readonly onEnd: (end: ExchangeEnd) => void;
 };
 
@@ -153,7 +155,7 @@
 		}
 
 		this.#isEnded = true;
-		this.options.connection.release(end.kind === 'complete');
+		this.options.connection.release(end.kind === 'complete' && this.options.keepsConnection());
 		this.options.onEnd(end);
 	}
 }
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -362,6 +362,7 @@
 			onData: chunk => {
 				this.#onData(attempt, chunk);
 			},
+			keepsConnection: () => !attempt.isRefused,
 			onEnd: end => {
 				if (attempt.obstacle === writeObstacles.unread) {
 					this.#putOff(attempt, endpoint);
--- a/test/gateway/forwarding/exchange.test.ts
+++ b/test/gateway/forwarding/exchange.test.ts
@@ -47,6 +47,7 @@
 			maySend: () => maySend,
 			onHead: () => undefined,
 			onData,
+			keepsConnection: () => true,
 			onEnd: resolve,
 		});
 	});
--- a/test/gateway/forwarding/paced-socket.test.ts
+++ b/test/gateway/forwarding/paced-socket.test.ts
@@ -57,6 +57,7 @@
 
 				round++;
 			},
+			keepsConnection: () => true,
 			onEnd: resolve,
 		});
 	});
