--- a/src/gateway/forwarding/endpoint-connection-pools.ts
+++ b/src/gateway/forwarding/endpoint-connection-pools.ts
@@ -1,7 +1,9 @@
 import type {Disposable} from '../../shared/disposable-store.js';
+import {startKey} from '../site/endpoint-start.js';
+import type {EndpointRecord} from '../site/types.js';
 import {EndpointConnectionPool, type EndpointConnectionPoolOptions} from './endpoint-connection-pool.js';
 
-/** The connection pools of all endpoints, by address. */
+/** The connection pools of all endpoints. Each start of an endpoint has its own, because an address is used again by others, and by the same process under another id. */
 export class EndpointConnectionPools implements Disposable {
 	static create(options: EndpointConnectionPoolOptions): EndpointConnectionPools {
 		return new EndpointConnectionPools(options);
@@ -21,11 +23,12 @@
 		return size;
 	}
 
-	poolFor(address: string): EndpointConnectionPool {
-		let pool = this.#pools.get(address);
+	poolFor(endpoint: EndpointRecord): EndpointConnectionPool {
+		const key = `${startKey(endpoint)} ${endpoint.address}`;
+		let pool = this.#pools.get(key);
 		if (pool === undefined) {
-			pool = EndpointConnectionPool.create(address, this.options);
-			this.#pools.set(address, pool);
+			pool = EndpointConnectionPool.create(endpoint.address, this.options);
+			this.#pools.set(key, pool);
 		}
 
 		return pool;
@@ -33,10 +36,10 @@
 
 	/** Closes connections that have been idle for too long, and removes empty pools. */
 	closeIdleConnections(): void {
-		for (const [address, pool] of this.#pools) {
+		for (const [key, pool] of this.#pools) {
 			pool.closeIdleConnections();
 			if (pool.size === 0) {
-				this.#pools.delete(address);
+				this.#pools.delete(key);
 			}
 		}
 	}
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -370,7 +370,7 @@
 			},
 			findLimit: endpoint => this.#restrictions.findLimit(endpoint),
 			findEndpoint: id => this.#site.endpoints.get(id),
-			acquireConnection: (endpoint, requestId, isRetryable) => this.#connectionPools.poolFor(endpoint.address).acquire(requestId, isRetryable),
+			acquireConnection: (endpoint, requestId, isRetryable) => this.#connectionPools.poolFor(endpoint).acquire(requestId, isRetryable),
 			findObstacle: endpoint => this.#findObstacle(endpoint),
 			containment: this.#containment,
 			recordStatement: (endpoint, statement, completedSentAt) => {
--- a/src/gateway/permits/permit-arbiter.ts
+++ b/src/gateway/permits/permit-arbiter.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import {startKey, type EndpointStart} from '../statements/types.js';
+import {startKey, type EndpointStart} from '../site/endpoint-start.js';
 import type {PermitGrant, PermitRequest} from './types.js';
 
 const millisecondsPerSecond = 1000;
--- a/src/gateway/permits/permit-exchange.ts
+++ b/src/gateway/permits/permit-exchange.ts
@@ -2,7 +2,7 @@
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
 import type {PeerGroup} from '../membership/peer-group.js';
 import type {EndpointStatements} from '../statements/endpoint-statements.js';
-import {startKey, type EndpointStart} from '../statements/types.js';
+import {startKey, type EndpointStart} from '../site/endpoint-start.js';
 import {PermitArbiter, type AddressedGrant} from './permit-arbiter.js';
 import {encodePermitGrant, encodePermitRequest} from './permit-codec.js';
 import {PermitHolder} from './permit-holder.js';
--- a/src/gateway/permits/permit-holder.ts
+++ b/src/gateway/permits/permit-holder.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import {startKey, type EndpointStart} from '../statements/types.js';
+import {startKey, type EndpointStart} from '../site/endpoint-start.js';
 import type {PermitGrant} from './types.js';
 
 /** Time for which a permit is valid beyond the time in which it is expected. It counts from the request, so that a grant that is read late permits nothing. */
--- a/src/gateway/permits/types.ts
+++ b/src/gateway/permits/types.ts
@@ -1,5 +1,6 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import type {EndpointStart, LimitStatement} from '../statements/types.js';
+import type {EndpointStart} from '../site/endpoint-start.js';
+import type {LimitStatement} from '../statements/types.js';
 
 /** A request of one instance for permits to send requests to an endpoint that limits them. */
 export type PermitRequest = {
--- a/src/gateway/statements/endpoint-statements.ts
+++ b/src/gateway/statements/endpoint-statements.ts
@@ -1,8 +1,9 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {EventLog} from '../observability/event-log.js';
 import type {EndpointStatement} from '../protocol.js';
-import {
-	startKey, type EndpointStart, type LeavingReport, type LimitReport, type LimitStatement, type StatementReport,
+import {startKey, type EndpointStart} from '../site/endpoint-start.js';
+import type {
+	LeavingReport, LimitReport, LimitStatement, StatementReport,
 } from './types.js';
 
 /** Time after which what was stated by an endpoint that the site does not list is forgotten. Its record may be missing for a while. */
--- a/src/gateway/statements/stated-restrictions.ts
+++ b/src/gateway/statements/stated-restrictions.ts
@@ -5,9 +5,10 @@
 import {PermitExchange} from '../permits/permit-exchange.js';
 import type {EndpointStatement} from '../protocol.js';
 import type {EndpointRestrictions} from '../scheduling/types.js';
+import type {EndpointStart} from '../site/endpoint-start.js';
 import {EndpointStatements, type StatementStatus} from './endpoint-statements.js';
 import {StatementExchange} from './statement-exchange.js';
-import type {EndpointStart, LimitStatement} from './types.js';
+import type {LimitStatement} from './types.js';
 
 export type StatedRestrictionsOptions = {
 	readonly ownHost: string;
--- a/src/gateway/statements/statement-exchange.ts
+++ b/src/gateway/statements/statement-exchange.ts
@@ -2,9 +2,10 @@
 import {GossipExchange, selectInRotation} from '../membership/gossip-exchange.js';
 import type {OutgoingDatagram} from '../membership/heartbeat-exchange.js';
 import type {PeerGroup} from '../membership/peer-group.js';
+import {startKey} from '../site/endpoint-start.js';
 import {encodeStatementReports} from './statement-report-codec.js';
 import type {EndpointStatements} from './endpoint-statements.js';
-import {startKey, type ReceivedStatementReport, type StatementReport} from './types.js';
+import type {ReceivedStatementReport, StatementReport} from './types.js';
 
 /** Reports in one repair; the next one goes on after them. */
 const reportsPerRepair = 16;
--- a/src/gateway/statements/types.ts
+++ b/src/gateway/statements/types.ts
@@ -1,12 +1,5 @@
 import type {Milliseconds} from '../../shared/clock.js';
-import type {EndpointRecord} from '../site/types.js';
-
-/** One start of an endpoint. What it states about itself ends with it, and does not belong to its id or address. */
-export type EndpointStart = Pick<EndpointRecord, 'id' | 'startedAt'>;
-
-export function startKey({id, startedAt}: EndpointStart): string {
-	return `${id} ${startedAt}`;
-}
+import type {EndpointStart} from '../site/endpoint-start.js';
 
 /** Who received a statement, and when. */
 export type StatementSource = {
--- a/test/gateway/forwarding/copied-responses.test.ts
+++ b/test/gateway/forwarding/copied-responses.test.ts
@@ -163,3 +163,25 @@
 		t.is(endpoint.requestIds.length, 2);
 	});
 }
+
+// Guards against answers of one endpoint that meet requests to another, which has taken its address.
+test('a connection that was opened to one endpoint carries no request to another at the same address', async t => {
+	const sockets: Array<RawRequest['socket']> = [];
+	const endpoint = await RawEndpoint.listen(({requestId, socket}) => {
+		sockets.push(socket);
+		socket.write(wholeResponse(requestId));
+	});
+	t.teardown(async () => endpoint.dispose());
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	site.store.put('servers/old', createEndpointDocument({service: 'diaries', address: endpoint.address}));
+	const gateway = await site.addGateway();
+	t.like(await call(gateway), {status: 200});
+	t.like(await call(gateway), {status: 200});
+	site.store.remove('servers/old');
+	site.store.put('servers/new', createEndpointDocument({service: 'diaries', address: endpoint.address}));
+	await until(() => gateway.memoryLog.linesOf('endpoint-removed').length === 1);
+	t.like(await call(gateway), {status: 200});
+	t.is(sockets[1], sockets[0]);
+	t.not(sockets[2], sockets[0]);
+});
--- a/test/gateway/unexpected-request-errors.test.ts
+++ b/test/gateway/unexpected-request-errors.test.ts
@@ -14,12 +14,12 @@
 	const sound = await site.addEndpoint({id: 'sound', isEngine: false}, {slots: 2});
 	const gateway = await site.addGateway();
 	const {poolFor} = EndpointConnectionPools.prototype;
-	EndpointConnectionPools.prototype.poolFor = function (address) {
-		if (address === broken.address) {
+	EndpointConnectionPools.prototype.poolFor = function (endpoint) {
+		if (endpoint.address === broken.address) {
 			throw new TypeError('no such address');
 		}
 
-		return poolFor.call(this, address);
+		return poolFor.call(this, endpoint);
 	};
 
 	const responses = await Promise.all(Array.from({length: 12}, async () => call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'}))).finally(() => {
