--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -82,6 +82,7 @@
 	#head: ResponseHead | undefined;
 	#isFramed = true;
 	#isRefusal = false;
+	#isMisdirected = false;
 	#isEventStream = false;
 	#statement: EndpointStatement | undefined;
 	#lastProgressAt: Milliseconds;
@@ -222,8 +223,8 @@
 		this.#isRefusal = metadata.isRefusal;
 		this.#isEventStream = metadata.isEventStream;
 		const isOwn = metadata.requestId === requestId;
-		// Another endpoint at the same address responds with 421.
-		this.#statement = isOwn && head.status !== 421 ? metadata.statement : undefined;
+		this.#isMisdirected = metadata.isMisdirected;
+		this.#statement = isOwn && !metadata.isMisdirected ? metadata.statement : undefined;
 		if (isOwn && metadata.isNotRun) {
 			this.#kind = responseKinds.rejected;
 		} else if (!isOwn || !metadata.isSealed || metadata.hasContentEncoding) {
@@ -308,7 +309,7 @@
 		const outcomes = {
 			[responseKinds.pending]: attemptOutcomes.broken,
 			[responseKinds.relay]: attemptOutcomes.completed,
-			[responseKinds.rejected]: attemptOutcomes.rejected,
+			[responseKinds.rejected]: this.#isMisdirected ? attemptOutcomes.misdirected : attemptOutcomes.rejected,
 			[responseKinds.failed]: attemptOutcomes.failed,
 			[responseKinds.foreign]: attemptOutcomes.broken,
 		} as const;
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {describeError, toError} from '../../shared/describe-error.js';
 import type {GatewayFailure} from '../callers/failures.js';
-import {attemptOutcomes, type AttemptOutcome} from '../scheduling/endpoint-load.js';
+import {attemptOutcomes, isNotRun, type AttemptOutcome} from '../scheduling/endpoint-load.js';
 import {maximumWaitMs, streamTimeoutMs} from '../scheduling/maximum-wait.js';
 import {refusalReasons, type Refusal, type WaitingRequest} from '../scheduling/types.js';
 import {requestKinds, type EndpointRecord, type Route} from '../site/types.js';
@@ -492,7 +492,7 @@
 	#handleAttemptEnd(attempt: Attempt, outcome: AttemptOutcome, end: ExchangeEnd): void {
 		const now = this.context.clock.now();
 		this.context.onAttemptEnd(outcome);
-		if (outcome === attemptOutcomes.rejected || isUnsent(end)) {
+		if (isNotRun(outcome) || isUnsent(end)) {
 			this.#possiblyRunBy.delete(attempt.endpointId);
 		}
 
@@ -548,16 +548,16 @@
 	}
 
 	#retryOrFail(attempt: Attempt, outcome: AttemptOutcome, end: ExchangeEnd, now: Milliseconds): void {
-		const isNotRun = outcome === attemptOutcomes.rejected;
-		if (isUnsent(end) || (isNotRun && !this.context.scheduler.accepts(this.#waitingRequest))) {
+		const wasTurnedAway = isNotRun(outcome);
+		if (isUnsent(end) || (wasTurnedAway && !this.context.scheduler.accepts(this.#waitingRequest))) {
 			// No endpoint received the request, or none will, so this uses no retry budget.
 			this.#resubmit();
 			return;
 		}
 
-		if ((isNotRun || this.#mayRetry(attempt, now)) && this.#takeRetryBudget(now)) {
+		if ((wasTurnedAway || this.#mayRetry(attempt, now)) && this.#takeRetryBudget(now)) {
 			this.#resubmit();
-		} else if (isNotRun) {
+		} else if (wasTurnedAway) {
 			this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'notRun', retryAfterMs: 500} : {type: 'endpointFailed'});
 		} else if (outcome === attemptOutcomes.failed && attempt.mayForward) {
 			this.#finish(attempt);
--- a/src/gateway/protocol.ts
+++ b/src/gateway/protocol.ts
@@ -32,6 +32,8 @@
 	readonly isSealed: boolean;
 	/** Whether the endpoint states that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** Whether it comes from another endpoint than the expected one. */
+	readonly isMisdirected: boolean;
 	/** Whether its status tells a caller that the request has not run and never will. */
 	readonly isRefusal: boolean;
 	readonly hasContentEncoding: boolean;
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -38,6 +38,8 @@
 	failed: 'failed',
 	/** The endpoint stated that it did not run the request. */
 	rejected: 'rejected',
+	/** Another endpoint answered, which did not run the request: the one that its record describes is not at that address. */
+	misdirected: 'misdirected',
 	/** The connection closed early, or the response was not the endpoint's own. */
 	broken: 'broken',
 	/** No connection could be opened, such as when no process listens. */
@@ -52,6 +54,11 @@
 
 export type AttemptOutcome = (typeof attemptOutcomes)[keyof typeof attemptOutcomes];
 
+/** Whether the endpoint stated that it did not run the request. */
+export function isNotRun(outcome: AttemptOutcome): boolean {
+	return outcome === attemptOutcomes.rejected || outcome === attemptOutcomes.misdirected;
+}
+
 /** Load and health of one endpoint as seen by this instance. */
 export class EndpointLoad {
 	static create(record: EndpointRecord, now: Milliseconds): EndpointLoad {
@@ -175,19 +182,28 @@
 			return this.#recordSilence(now) && outcome === attemptOutcomes.unanswered;
 		}
 
+		if (outcome === attemptOutcomes.misdirected) {
+			this.#pauseAfterFailure(now);
+			return false;
+		}
+
 		const hasFailed = outcome !== attemptOutcomes.completed;
 		this.#failureRatio += failureSmoothingFactor * ((hasFailed ? 1 : 0) - this.#failureRatio);
 		if (outcome === attemptOutcomes.completed || outcome === attemptOutcomes.failed) {
 			this.#consecutiveFailures = 0;
 		} else {
-			this.#consecutiveFailures++;
-			this.#pausedUntil = now + Math.min(initialBackoffMs * (2 ** (this.#consecutiveFailures - 1)), maximumBackoffMs);
+			this.#pauseAfterFailure(now);
 		}
 
 		// A crash closes the port and breaks every connection. While other requests are still in flight, only this response was lost.
 		return outcome === attemptOutcomes.unreachable || (outcome === attemptOutcomes.broken && this.#inFlight === 0);
 	}
 
+	#pauseAfterFailure(now: Milliseconds): void {
+		this.#consecutiveFailures++;
+		this.#pausedUntil = now + Math.min(initialBackoffMs * (2 ** (this.#consecutiveFailures - 1)), maximumBackoffMs);
+	}
+
 	/**
 	Pauses the endpoint after a request that it did not answer. Many requests of one silence count as one failure.
 
--- a/test/gateway/forwarding/forward-task.test.ts
+++ b/test/gateway/forwarding/forward-task.test.ts
@@ -4,6 +4,7 @@
 import test, {type ExecutionContext} from 'ava';
 import {HttpResponse} from '../../../src/gateway/callers/http-response.js';
 import {encodeCrashReport} from '../../../src/gateway/quarantine/crash-report-codec.js';
+import {createEndpointDocument} from '../../../standins/platform-documents.js';
 import type {PlatformEndpoint} from '../../../standins/platform-endpoint.js';
 import {call} from '../../fixtures/gateway/caller.js';
 import {GatewaySite, type Gateway} from '../../fixtures/gateway/gateway-site.js';
@@ -265,3 +266,15 @@
 	t.deepEqual(busy.executedRequestIds.filter(id => id === 'waiting'), []);
 	t.is(gateway.memoryLog.linesOf('request-withheld').length, 1);
 });
+
+test('a booking for an endpoint whose address another one has taken is run elsewhere, and the answer counts as misdirected', async t => {
+	const site = await GatewaySite.start();
+	t.teardown(async () => site.dispose());
+	const other = await site.addEndpoint({id: 'other', isEngine: false});
+	// Of equally loaded endpoints, the first one gets the request.
+	site.store.put('servers/absent', createEndpointDocument({service: 'diaries', address: other.address}));
+	const gateway = await site.addGateway();
+	t.like(await call(gateway, {path: '/bookings/1', method: 'POST', body: 'x'}), {status: 200});
+	t.is(other.executedRequestIds.length, 1);
+	t.regex(gateway.memoryLog.linesOf('attempt-failed')[0]!, /endpoint=absent outcome=misdirected/v);
+});
--- a/test/gateway/scheduling/endpoint-load.test.ts
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -22,6 +22,23 @@
 	t.false(load.isPaused(4300));
 });
 
+// Guards against an endpoint that is not at its address any more and draws all requests, because one that answers at once looks free.
+test('pauses an endpoint in whose place another one answered, without counting it as failing or restarted', t => {
+	const load = createLoad();
+	for (let request = 0; request < 20; request++) {
+		load.recordDispatch(request);
+		t.false(load.recordOutcome('misdirected', request));
+	}
+
+	t.true(load.isPaused(4000));
+	t.false(load.isPaused(4100));
+	t.false(load.isFailing);
+	load.recordDispatch(5000);
+	load.recordOutcome('misdirected', 5000);
+	load.update(createEndpoint({startedAt: 7}), 5001);
+	t.false(load.isPaused(5001));
+});
+
 test('an endpoint that fails most requests is failing, one that fails a few is not', t => {
 	const load = createLoad();
 	for (let request = 0; request < 40; request++) {
