--- a/test/gateway/forwarding/cut-heads.test.ts
+++ b/test/gateway/forwarding/cut-heads.test.ts
@@ -168,6 +168,9 @@
 	'after an interim response on a connection that has carried a response': {isReused: true, before: 'HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n'},
 } as const;
 
+/** An endpoint whose pause ends in between gets a request in place of the one whose connection is to be reused. The cut is tried again then. */
+const maximumTries = 10;
+
 for (const [what, kind] of Object.entries(kinds)) {
 	for (const [where, {isReused, before}] of Object.entries(starts)) {
 		// Guards against a 200 with an empty or short body that looks whole, and against a second run of what may run once.
@@ -175,24 +178,34 @@
 			const site = await startSite(t, kind);
 			const faults: string[] = [];
 			await forEachCut(kind, async ({text, end, name}) => {
-				const earlierId = createId();
-				if (isReused) {
-					await send(site, kind, earlierId);
-				}
+				let isPlanned = false;
+				for (let tries = 0; tries < maximumTries && !isPlanned; tries++) {
+					const earlierId = createId();
+					if (isReused) {
+						// eslint-disable-next-line no-await-in-loop
+						await send(site, kind, earlierId);
+					}
 
-				const earlierSocket = site.arrivals.get(earlierId)?.[0];
-				const fault = await findFault(site, kind, [(socket, id) => {
-					if ((socket === earlierSocket) !== isReused) {
-						faults.push(`${name}: on another connection than planned`);
+					const earlierSocket = site.arrivals.get(earlierId)?.[0];
+					// eslint-disable-next-line no-await-in-loop
+					const fault = await findFault(site, kind, [(socket, id) => {
+						isPlanned = (socket === earlierSocket) === isReused;
+						if (isPlanned) {
+							writeAndEnd(socket, before + text(id), end);
+						} else {
+							socket.write(wholeResponse(id, kind));
+						}
+					}, (socket, id) => {
+						// The next request needs a new connection.
+						socket.end(wholeResponse(id, kind));
+					}], expectedAfterBreak(kind));
+					if (isPlanned && fault !== undefined) {
+						faults.push(`${name}: ${fault}`);
 					}
+				}
 
-					writeAndEnd(socket, before + text(id), end);
-				}, (socket, id) => {
-					// The next request needs a new connection.
-					socket.end(wholeResponse(id, kind));
-				}], expectedAfterBreak(kind));
-				if (fault !== undefined) {
-					faults.push(`${name}: ${fault}`);
+				if (!isPlanned) {
+					faults.push(`${name}: on another connection than planned`);
 				}
 			});
 			t.deepEqual(faults, []);
