--- a/src/gateway/forwarding/endpoint-connection-pool.ts
+++ b/src/gateway/forwarding/endpoint-connection-pool.ts
@@ -139,7 +139,7 @@
 		await Promise.all(clients.map(async client => client.destroy()));
 	}
 
-	/** Takes the most recently used idle connection that has not carried the id. Closes those that are destroyed or have been idle for too long. */
+	/** Takes the most recently used idle connection that has not carried the id. Closes those that are destroyed or have been idle for too long. If all others have carried the id, it closes one, which the new connection replaces. */
 	#takeIdle(idHash: bigint, maximumIdleMs: Milliseconds): PooledClient | undefined {
 		const now = this.options.clock.now();
 		for (let index = this.#idle.length - 1; index >= 0; index--) {
@@ -157,6 +157,11 @@
 			this.#close(pooled.client);
 		}
 
+		const replaced = this.#idle.shift();
+		if (replaced !== undefined) {
+			this.#close(replaced.client);
+		}
+
 		return undefined;
 	}
 
