--- a/src/gateway/permits/permit-holder.ts
+++ b/src/gateway/permits/permit-holder.ts
@@ -1,3 +1,4 @@
+import {randomInt} from 'node:crypto';
 import type {Milliseconds} from '../../shared/clock.js';
 import {startKey, type EndpointStart} from '../site/endpoint-start.js';
 import type {PermitGrant} from './types.js';
@@ -11,6 +12,9 @@
 /** Time after which a request is repeated, as a ratio of the time in which its grant is expected. */
 const repeatRatio = 1.1;
 
+/** Numbers from which the first one of a process is chosen. */
+const firstSequenceCount = 2 ** 31;
+
 type OpenRequest = {readonly sequence: number; readonly sentAt: Milliseconds};
 
 type Holding = {
@@ -29,7 +33,8 @@
 	}
 
 	readonly #holdings = new Map<string, Holding>();
-	#sequence = 0;
+	/** Starts at random, so that no grant to a process that ran here before matches a request of this one. */
+	#sequence = randomInt(firstSequenceCount);
 
 	private constructor() {}
 
--- a/test/gateway/permits/permit-holder.test.ts
+++ b/test/gateway/permits/permit-holder.test.ts
@@ -58,3 +58,13 @@
 
 	t.is(opened.size, 20);
 });
+
+// Guards against a grant to an earlier process at this host that counts for a request of this one: an arbiter that was frozen answers late.
+test('a grant for a request of an earlier process at the same host gives nothing', t => {
+	const earlier = PermitHolder.create();
+	const sequence = earlier.open(start, waitMs, 0)!;
+	const later = PermitHolder.create();
+	later.open(start, waitMs, 100);
+	t.false(later.receive({start, sequence, count: 8}, waitMs, 110));
+	t.false(later.has(start, 110));
+});
