--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -46,6 +46,8 @@
 
 export type AttemptOptions = {
 	readonly endpointId: string;
+	/** Start of the endpoint; undefined if it is no longer registered. */
+	readonly endpointStartedAt?: number;
 	readonly requestId: string;
 	readonly method: string;
 	readonly route: Route;
@@ -104,6 +106,10 @@
 		return this.options.endpointId;
 	}
 
+	get endpointStartedAt(): number | undefined {
+		return this.options.endpointStartedAt;
+	}
+
 	get sentAt(): Milliseconds {
 		return this.options.sentAt;
 	}
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -120,7 +120,7 @@
 		this.#crashObservations.recordSurvival(attempt, now);
 		if (now >= this.#deadlineAt + deadlineMarginMs) {
 			this.#attempt = undefined;
-			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled);
+			this.context.scheduler.recordOutcome(attempt.endpointId, attempt.head === undefined ? attemptOutcomes.silent : attemptOutcomes.cancelled, {startedAt: attempt.endpointStartedAt});
 			attempt.exchange?.cancel(new Error('the deadline of the request has passed'));
 			this.#recordAbandoned(attempt);
 			this.#fail(this.#possiblyRunBy.size === 0 ? {type: 'waitedTooLong', retryAfterMs: 0} : {type: 'timedOut'});
@@ -181,7 +181,7 @@
 		if (attempt !== undefined) {
 			attempt.exchange?.cancel(reason);
 			this.#recordAbandoned(attempt);
-			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled);
+			this.context.scheduler.recordOutcome(attempt.endpointId, attemptOutcomes.cancelled, {startedAt: attempt.endpointStartedAt});
 		}
 	}
 
@@ -285,6 +285,7 @@
 		const endpoint = context.findEndpoint(endpointId);
 		const attempt = Attempt.create({
 			endpointId,
+			endpointStartedAt: endpoint?.startedAt,
 			requestId: this.requestId,
 			method: request.method,
 			route: request.route,
@@ -464,6 +465,7 @@
 		const outcome = attempt.outcome(end);
 		const recordOutcome = () => {
 			this.context.scheduler.recordOutcome(attempt.endpointId, outcome, {
+				startedAt: attempt.endpointStartedAt,
 				durationMs: attempt.isContinuation ? undefined : this.context.clock.now() - attempt.sentAt,
 				eventIntervalMs: attempt.eventIntervalMs,
 				events: attempt.isContinuation ? undefined : attempt.eventCount,
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -59,7 +59,7 @@
 	return outcome === attemptOutcomes.rejected || outcome === attemptOutcomes.misdirected;
 }
 
-/** Load and health of one endpoint as seen by this instance. */
+/** Load and health of one start of an endpoint as seen by this instance. */
 export class EndpointLoad {
 	static create(record: EndpointRecord, now: Milliseconds): EndpointLoad {
 		return new EndpointLoad(record, now);
@@ -123,17 +123,15 @@
 		return this.#failureRatio > failingRatio;
 	}
 
+	/** Sets a newer record of the same start. */
 	update(record: EndpointRecord, now: Milliseconds): void {
-		if (record.startedAt !== this.record.startedAt) {
+		if (record.address !== this.record.address) {
 			this.#consecutiveFailures = 0;
-			this.#failureRatio = 0;
 			this.#pausedUntil = -Infinity;
-			this.#endSilence();
-			this.#hasEventInterval = false;
 		}
 
 		// The remaining time counts from when the record was written, so an unchanged value must not extend it.
-		if (record.coldRemainingMs !== this.record.coldRemainingMs || record.startedAt !== this.record.startedAt) {
+		if (record.coldRemainingMs !== this.record.coldRemainingMs) {
 			this.#coldUntil = now + record.coldRemainingMs;
 		}
 
@@ -183,7 +181,11 @@
 		}
 
 		if (outcome === attemptOutcomes.misdirected) {
-			this.#pauseAfterFailure(now);
+			// Answers to requests that were in flight together say the same.
+			if (now >= this.#pausedUntil) {
+				this.#pauseAfterFailure(now);
+			}
+
 			return false;
 		}
 
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -1,6 +1,7 @@
 import type {Clock, Milliseconds} from '../../shared/clock.js';
 import type {ReadingProgress} from '../../shared/reading-progress.js';
 import type {ColdRateLimiter} from '../limits/cold-rate-limiter.js';
+import {startKey} from '../site/endpoint-start.js';
 import type {EndpointRecord, Service} from '../site/types.js';
 import {EndpointLoad, attemptOutcomes, type AttemptOutcome} from './endpoint-load.js';
 import {EventCountEstimator} from './event-count-estimator.js';
@@ -61,6 +62,8 @@
 
 /** Measurements of a run that has ended. */
 export type RunMeasurements = {
+	/** Start of the endpoint that the request was dispatched to. Default: the current one. */
+	readonly startedAt?: number;
 	/** Time from its dispatch, unless it continued a stream. */
 	readonly durationMs?: Milliseconds;
 	/** Average time between its events, if it had enough of them. */
@@ -81,7 +84,7 @@
 	readonly #eventCountEstimator = EventCountEstimator.create();
 	readonly #runDurationEstimator = RunDurationEstimator.create();
 	readonly #loads = new Map<string, EndpointLoad>();
-	/** Endpoints that were removed while requests of this instance were in flight there. */
+	/** By start: endpoints that were removed or started again while requests of this instance were in flight there. */
 	readonly #removedLoads = new Map<string, EndpointLoad>();
 	/** Requests that were submitted while dispatching was postponed, and the on-time requests ahead of each. */
 	readonly #postponed = new Map<WaitingRequest, number>();
@@ -118,10 +121,11 @@
 		for (const record of records) {
 			ids.add(record.id);
 			const load = this.#loads.get(record.id);
-			if (load === undefined) {
-				this.#loads.set(record.id, EndpointLoad.create(record, now));
-			} else {
+			if (load?.record.startedAt === record.startedAt) {
 				load.update(record, now);
+			} else {
+				this.#keepWhileInFlight(load);
+				this.#loads.set(record.id, this.#takeRemoved(record, now) ?? EndpointLoad.create(record, now));
 			}
 		}
 
@@ -129,9 +133,7 @@
 			if (!ids.has(id)) {
 				this.#loads.delete(id);
 				this.options.coldRateLimiter.forget(id);
-				if (load.inFlight > 0) {
-					this.#removedLoads.set(id, load);
-				}
+				this.#keepWhileInFlight(load);
 			}
 		}
 
@@ -167,7 +169,7 @@
 	}
 
 	/** Records the end of a request at an endpoint and dispatches waiting requests to the free slot. */
-	recordOutcome(endpointId: string, outcome: AttemptOutcome, {durationMs, eventIntervalMs, events, expectedOutputTokens}: RunMeasurements = {}): void {
+	recordOutcome(endpointId: string, outcome: AttemptOutcome, {startedAt, durationMs, eventIntervalMs, events, expectedOutputTokens}: RunMeasurements = {}): void {
 		const now = this.options.clock.now();
 		if (outcome === attemptOutcomes.completed && durationMs !== undefined) {
 			this.#runDurationEstimator.recordRun(durationMs);
@@ -177,13 +179,13 @@
 			this.#eventCountEstimator.recordStream(expectedOutputTokens, events);
 		}
 
-		const load = this.#loads.get(endpointId) ?? this.#removedLoads.get(endpointId);
+		const load = this.#findLoad(endpointId, startedAt);
 		if (load?.recordOutcome(outcome, now, eventIntervalMs) === true && this.#service.coldRequestsPerSecond > 0) {
 			load.assumeColdUntil(now + this.#service.coldStartMs);
 		}
 
 		if (load?.inFlight === 0) {
-			this.#removedLoads.delete(endpointId);
+			this.#removedLoads.delete(startKey(load.record));
 		}
 
 		this.dispatchWaiting();
@@ -208,6 +210,30 @@
 		});
 	}
 
+	#keepWhileInFlight(load: EndpointLoad | undefined): void {
+		if (load !== undefined && load.inFlight > 0) {
+			this.#removedLoads.set(startKey(load.record), load);
+		}
+	}
+
+	/** Returns the load of a start whose record was missing for a moment. */
+	#takeRemoved(record: EndpointRecord, now: Milliseconds): EndpointLoad | undefined {
+		const key = startKey(record);
+		const load = this.#removedLoads.get(key);
+		this.#removedLoads.delete(key);
+		load?.update(record, now);
+		return load;
+	}
+
+	#findLoad(endpointId: string, startedAt: number | undefined): EndpointLoad | undefined {
+		const load = this.#loads.get(endpointId);
+		if (load !== undefined && (startedAt === undefined || load.record.startedAt === startedAt)) {
+			return load;
+		}
+
+		return [...this.#removedLoads.values()].find(({record}) => record.id === endpointId && (startedAt === undefined || record.startedAt === startedAt));
+	}
+
 	#dispatchNow(): void {
 		this.#refuseUnacceptable();
 		const now = this.options.clock.now();
--- a/test/gateway/scheduling/endpoint-load.test.ts
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -128,15 +128,6 @@
 	t.true(load.isCold(3900));
 });
 
-test('a restart of the endpoint clears earlier failures', t => {
-	const load = createLoad();
-	load.recordDispatch(0);
-	load.recordOutcome('broken', 0);
-	load.update(createEndpoint({startedAt: 2000, coldRemainingMs: 3000}), 100);
-	t.false(load.isPaused(110));
-	t.true(load.isCold(110));
-});
-
 /** Dispatches requests, ends some of them as given, and returns whether the last end indicates a restart. */
 function mayHaveRestarted(dispatched: number, ends: ReadonlyArray<readonly [outcome: AttemptOutcome, at: number]>): boolean {
 	const load = createLoad();
--- a/test/gateway/scheduling/service-scheduler.test.ts
+++ b/test/gateway/scheduling/service-scheduler.test.ts
@@ -492,3 +492,48 @@
 	t.deepEqual(waiting.refusals, []);
 	t.is(waiting.dispatchedTo.length, 1);
 });
+
+test('a restart of an endpoint clears earlier failures', t => {
+	const {clock, scheduler} = createScheduler();
+	scheduler.submit(request(clock));
+	scheduler.recordOutcome('engine-1', 'broken');
+	t.true(scheduler.loads.get('engine-1')!.isPaused(clock.now()));
+	scheduler.setEndpoints([createEndpoint({startedAt: 2000, coldRemainingMs: 3000})], new Set());
+	t.false(scheduler.loads.get('engine-1')!.isPaused(clock.now()));
+	t.true(scheduler.loads.get('engine-1')!.isCold(clock.now()));
+});
+
+// Guards against a sound endpoint that is not used for seconds, because answers to its id that were meant for an earlier start arrived late.
+for (const outcome of ['misdirected', 'broken', 'unreachable'] as const) {
+	test(`an endpoint that has started again is used at once when requests to its earlier start end as ${outcome}`, t => {
+		const earlier = createEndpoint();
+		const {clock, scheduler} = createScheduler({records: [earlier]});
+		for (let index = 0; index < 3; index++) {
+			scheduler.submit(request(clock));
+		}
+
+		scheduler.setEndpoints([createEndpoint({startedAt: 7, address: '127.0.0.1:2'})], new Set());
+		for (let index = 0; index < 3; index++) {
+			scheduler.recordOutcome('engine-1', outcome, {startedAt: earlier.startedAt});
+		}
+
+		const later = request(clock);
+		scheduler.submit(later);
+		t.is(later.dispatchedTo.length, 1);
+		t.is(scheduler.loads.get('engine-1')!.inFlight, 1);
+	});
+}
+
+// Guards against an endpoint that gets more requests than it has slots, because its record was missing for a moment.
+test('requests in flight at an endpoint still count after its record was missing for a moment', t => {
+	const {clock, scheduler} = createScheduler({records: [createEndpoint({slots: 1})]});
+	scheduler.submit(request(clock));
+	scheduler.setEndpoints([], new Set());
+	scheduler.setEndpoints([createEndpoint({slots: 1})], new Set());
+	const second = request(clock);
+	scheduler.submit(second);
+	t.is(second.dispatchedTo.length, 0, 'the first request is still in flight');
+	scheduler.recordOutcome('engine-1', 'completed');
+	t.is(second.dispatchedTo.length, 1);
+	t.is(scheduler.loads.get('engine-1')!.inFlight, 1);
+});
