--- a/src/gateway/forwarding/attempt.ts
+++ b/src/gateway/forwarding/attempt.ts
@@ -308,6 +308,10 @@
 			return attemptOutcomes[end.kind];
 		}
 
+		if (this.#kind === responseKinds.foreign) {
+			return attemptOutcomes.foreign;
+		}
+
 		if (end.kind !== 'complete' || this.#endsInsideEvent || this.#isBodyMissing) {
 			return attemptOutcomes.broken;
 		}
@@ -317,7 +321,7 @@
 			[responseKinds.relay]: attemptOutcomes.completed,
 			[responseKinds.rejected]: this.#isMisdirected ? attemptOutcomes.misdirected : attemptOutcomes.rejected,
 			[responseKinds.failed]: attemptOutcomes.failed,
-			[responseKinds.foreign]: attemptOutcomes.broken,
+			[responseKinds.foreign]: attemptOutcomes.foreign,
 		} as const;
 		return outcomes[this.#kind];
 	}
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -506,6 +506,8 @@
 
 		if (outcome === attemptOutcomes.broken) {
 			this.#crashObservations.recordBroken(attempt);
+		} else if (outcome === attemptOutcomes.foreign) {
+			this.#recordAbandoned(attempt);
 		}
 
 		this.context.log.event('attempt-failed', {
--- a/src/gateway/scheduling/endpoint-load.ts
+++ b/src/gateway/scheduling/endpoint-load.ts
@@ -40,8 +40,10 @@
 	rejected: 'rejected',
 	/** Another endpoint answered, which did not run the request: the one that its record describes is not at that address. */
 	misdirected: 'misdirected',
-	/** The connection closed early, or the response was not the endpoint's own. */
+	/** The connection closed early. */
 	broken: 'broken',
+	/** The response belonged to another request, or was not the endpoint's own. */
+	foreign: 'foreign',
 	/** No connection could be opened, such as when no process listens. */
 	unreachable: 'unreachable',
 	/** No connection was opened in time. Nothing was sent. */
@@ -193,7 +195,7 @@
 		this.#failureRatio += failureSmoothingFactor * ((hasFailed ? 1 : 0) - this.#failureRatio);
 		if (outcome === attemptOutcomes.completed || outcome === attemptOutcomes.failed) {
 			this.#consecutiveFailures = 0;
-		} else {
+		} else if (outcome !== attemptOutcomes.foreign) {
 			this.#pauseAfterFailure(now);
 		}
 
--- a/test/gateway/scheduling/endpoint-load.test.ts
+++ b/test/gateway/scheduling/endpoint-load.test.ts
@@ -25,18 +25,38 @@
 // Guards against an endpoint that is not at its address any more and draws all requests, because one that answers at once looks free.
 test('pauses an endpoint in whose place another one answered, without counting it as failing or restarted', t => {
 	const load = createLoad();
-	for (let request = 0; request < 20; request++) {
-		load.recordDispatch(request);
-		t.false(load.recordOutcome('misdirected', request));
+	for (const [at, pausedMs] of [[0, 250], [1000, 500], [3000, 1000]] as const) {
+		for (let request = 0; request < 20; request++) {
+			load.recordDispatch(at + request);
+			t.false(load.recordOutcome('misdirected', at + request));
+		}
+
+		t.true(load.isPaused(at + pausedMs - 1));
+		t.false(load.isPaused(at + pausedMs));
 	}
 
-	t.true(load.isPaused(4000));
-	t.false(load.isPaused(4100));
 	t.false(load.isFailing);
-	load.recordDispatch(5000);
-	load.recordOutcome('misdirected', 5000);
-	load.update(createEndpoint({startedAt: 7}), 5001);
-	t.false(load.isPaused(5001));
+});
+
+// Guards against a sound endpoint that is not used for seconds after its record has been corrected.
+test('an endpoint in whose place another one answered is used at once when its record names another address', t => {
+	const load = createLoad({address: '127.0.0.1:1'});
+	for (let request = 0; request < 5; request++) {
+		load.recordDispatch(request);
+		load.recordOutcome('misdirected', request);
+	}
+
+	load.update(createEndpoint({address: '127.0.0.1:2'}), 10);
+	t.false(load.isPaused(10));
+});
+
+// Guards against an answer too many that makes its sound endpoint look restarted, so that it gets the rate of a cold one.
+test('an endpoint whose response belonged to another request is not paused and does not count as restarted', t => {
+	const load = createLoad();
+	load.recordDispatch(0);
+	t.false(load.recordOutcome('foreign', 100));
+	t.false(load.isPaused(100));
+	t.true(load.failureRatio > 0);
 });
 
 test('an endpoint that fails most requests is failing, one that fails a few is not', t => {
