--- a/test/gateway/forwarding/cut-heads.test.ts
+++ b/test/gateway/forwarding/cut-heads.test.ts
@@ -178,8 +178,8 @@
 			const site = await startSite(t, kind);
 			const faults: string[] = [];
 			await forEachCut(kind, async ({text, end, name}) => {
-				let isPlanned = false;
-				for (let tries = 0; tries < maximumTries && !isPlanned; tries++) {
+				const cut = {isPlanned: false};
+				for (let tries = 0; tries < maximumTries && !cut.isPlanned; tries++) {
 					const earlierId = createId();
 					if (isReused) {
 						// eslint-disable-next-line no-await-in-loop
@@ -189,8 +189,8 @@
 					const earlierSocket = site.arrivals.get(earlierId)?.[0];
 					// eslint-disable-next-line no-await-in-loop
 					const fault = await findFault(site, kind, [(socket, id) => {
-						isPlanned = (socket === earlierSocket) === isReused;
-						if (isPlanned) {
+						cut.isPlanned = (socket === earlierSocket) === isReused;
+						if (cut.isPlanned) {
 							writeAndEnd(socket, before + text(id), end);
 						} else {
 							socket.write(wholeResponse(id, kind));
@@ -199,12 +199,12 @@
 						// The next request needs a new connection.
 						socket.end(wholeResponse(id, kind));
 					}], expectedAfterBreak(kind));
-					if (isPlanned && fault !== undefined) {
+					if (cut.isPlanned && fault !== undefined) {
 						faults.push(`${name}: ${fault}`);
 					}
 				}
 
-				if (!isPlanned) {
+				if (!cut.isPlanned) {
 					faults.push(`${name}: on another connection than planned`);
 				}
 			});
