--- a/src/gateway/site/site-reader-task.ts
+++ b/src/gateway/site/site-reader-task.ts
@@ -9,9 +9,15 @@
 /** Interval between two confirmations, as a fraction of the time within which a change must take effect. A change reaches an instance within its own interval, the largest age of a confirmation and the duration of two reads. */
 const intervalRatio = 0.25;
 
-/** Timeout of a question to the reader; after it, this instance reads the store itself. */
+/** Shortest time for which an answer is awaited. After it, this instance reads the store itself. */
 const askTimeoutMs = 150;
 
+/** Largest time for which an answer of a reader is awaited that has answered late, in intervals. */
+const maximumWaitIntervals = 0.75;
+
+/** Time for which an answer is awaited, in units of the time that the one before took. */
+const answerTimeFactor = 2;
+
 /** Rounds of questions to witnesses before an outage is assumed that some of them report: questions and answers are lost, and busy instances answer late. */
 const witnessRounds = 3;
 
@@ -108,6 +114,8 @@
 	#failedReads = 0;
 	#isDisposed = false;
 	#isCheckingForOutage = false;
+	/** Time for which the next answer of the reader is awaited. */
+	#answerWaitMs: Milliseconds = askTimeoutMs;
 
 	readonly #intervalMs: Milliseconds;
 
@@ -137,7 +145,7 @@
 	}
 
 	async #refresh(): Promise<void> {
-		const {clock, state, findReader, ask, onRead} = this.options;
+		const {clock, state, findReader} = this.options;
 		const reader = state.confirmedAt === undefined ? undefined : findReader();
 		if (reader === undefined) {
 			await this.#read();
@@ -145,15 +153,20 @@
 		}
 
 		const askedAt = clock.now();
-		const confirmation = await ask(reader, askTimeoutMs);
+		const answer = this.#askReader(reader, askedAt);
+		const confirmation = await firstWithin([answer], this.#answerWaitMs);
+		if (confirmation === undefined) {
+			void this.#confirmLate(answer, askedAt);
+			await this.#read();
+			return;
+		}
+
 		if (!this.#isRecent(confirmation)) {
 			await this.#read();
 			return;
 		}
 
-		if (state.confirm(confirmation, askedAt, clock.now())) {
-			this.#lastSuccessAt = clock.now();
-			onRead('confirmed', this.#lastSuccessAt - askedAt);
+		if (this.#confirm(confirmation, askedAt)) {
 			return;
 		}
 
@@ -162,6 +175,35 @@
 		await this.#read(isConfigurationConfirmed ? {digest: confirmation.configurationDigest, confirmedAt} : undefined);
 	}
 
+	/** Awaits the next answer longer if this one is late: a full link, or a busy reader, would be delayed further by a whole read at each interval. */
+	async #askReader(reader: string, askedAt: Milliseconds): Promise<SiteConfirmation | undefined> {
+		const confirmation = await this.options.ask(reader, Math.max(askTimeoutMs, this.#intervalMs));
+		const longestWaitMs = confirmation === undefined ? askTimeoutMs : maximumWaitIntervals * this.#intervalMs;
+		this.#answerWaitMs = Math.max(askTimeoutMs, Math.min(answerTimeFactor * (this.options.clock.now() - askedAt), longestWaitMs));
+		return confirmation;
+	}
+
+	/** Takes over an answer that came after the wait. It holds as of its question, and the read in its place may take long. */
+	async #confirmLate(answer: Promise<SiteConfirmation | undefined>, askedAt: Milliseconds): Promise<void> {
+		const confirmation = await answer;
+		if (this.#isRecent(confirmation)) {
+			this.#confirm(confirmation, askedAt);
+		}
+	}
+
+	/** Returns whether the state is the one that another instance has confirmed. */
+	#confirm(confirmation: SiteConfirmation, askedAt: Milliseconds): boolean {
+		const {clock, state, onRead} = this.options;
+		const now = clock.now();
+		if (!state.confirm(confirmation, askedAt, now)) {
+			return false;
+		}
+
+		this.#lastSuccessAt = now;
+		onRead('confirmed', now - askedAt);
+		return true;
+	}
+
 	#schedule(delayMs: Milliseconds): void {
 		clearTimeout(this.#timer);
 		if (this.#isDisposed) {
--- a/test/gateway/site/site-reader-task.test.ts
+++ b/test/gateway/site/site-reader-task.test.ts
@@ -414,3 +414,59 @@
 	t.log(`${wholeReads} whole reads in 11 intervals`);
 	t.true(wholeReads <= 3);
 });
+
+// Guards against a change that takes effect too late, because answers are awaited from a reader that has died.
+test('a change takes effect within its bound when a reader that answered late gives no answers any more', async t => {
+	let isAlive = true;
+	let digest = 'd';
+	const changeBoundMs = 1600;
+	const {reader, state, reads} = createReader(t, {
+		async read() {
+			return createSnapshot({digest});
+		},
+	}, {
+		changeBoundMs,
+		findReader: () => '10.0.0.2',
+		async ask(_host, timeoutMs) {
+			const answerMs = 200;
+			const isAnswered = isAlive && answerMs <= timeoutMs;
+			await delay(isAnswered ? answerMs : timeoutMs);
+			return isAnswered ? createConfirmation({ageMs: 20}) : undefined;
+		},
+	});
+	reader.start();
+	await until(() => reads.filter(outcome => outcome === 'confirmed').length >= 3);
+	isAlive = false;
+	digest = 'changed';
+	await Promise.race([until(() => state.digest === digest), delay(changeBoundMs)]);
+	t.is(state.digest, digest);
+});
+
+// Guards against an instance that serves nobody, because its reads fill its link until they time out, and its reader answers late.
+test('an answer that comes too late to save a read dates the state while the read has no response', async t => {
+	let calls = 0;
+	const {reader, state} = createReader(t, {
+		async read(timeoutMs) {
+			calls++;
+			if (calls === 1) {
+				return createSnapshot();
+			}
+
+			await delay(timeoutMs);
+			throw new Error('timeout');
+		},
+	}, {
+		changeBoundMs: 1600,
+		findReader: () => '10.0.0.2',
+		async ask(_host, timeoutMs) {
+			await delay(Math.min(timeoutMs, 350));
+			return timeoutMs < 350 ? undefined : createConfirmation({ageMs: 20});
+		},
+	});
+	reader.start();
+	await until(() => state.confirmedAt !== undefined);
+	const {confirmedAt} = state;
+	await Promise.race([until(() => state.confirmedAt! > confirmedAt!), delay(3000)]);
+	t.true(calls > 1);
+	t.true(state.confirmedAt! > confirmedAt!);
+});
