--- a/standins/platform-endpoint.ts
+++ b/standins/platform-endpoint.ts
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Milliseconds} from '../src/shared/clock.js';
 import type {Disposable} from '../src/shared/disposable-store.js';
+import {LateCopies} from './late-copies.js';
 import {
 	resetConnection, StandInServer, type Exchange,
 } from './stand-in-server.js';
@@ -56,6 +57,8 @@
 	readonly headers: IncomingMessage['headers'];
 	readonly body: string;
 	readonly isExecuted: boolean;
+	/** Id that the endpoint answered to. */
+	readonly endpointId: string;
 	/** When its headers and body had arrived, on the process's monotonic clock. */
 	readonly receivedAt: Milliseconds;
 	/** False when it was addressed to another endpoint. */
@@ -126,6 +129,10 @@
 	}
 
 	readonly receivedRequests: ReceivedRequest[] = [];
+	/** Id that the endpoint answers to. A new one leaves its connections open. */
+	id: string;
+	/** Copies of its refusals: of 421 and of the rejections among its faults. */
+	readonly lateCopies = LateCopies.create();
 	/** Each applies to one request, in order; later requests get a normal response. */
 	readonly faults: EndpointFault[] = [];
 	/** Headers that successes and rejections carry, and those that only rejections carry. Errors carry neither. */
@@ -133,7 +140,9 @@
 	rejectionHeaders: Record<string, string> = {};
 	#server!: StandInServer;
 
-	private constructor(readonly options: PlatformEndpointOptions) {}
+	private constructor(readonly options: PlatformEndpointOptions) {
+		this.id = options.id;
+	}
 
 	get address(): string {
 		return this.#server.address;
@@ -149,14 +158,14 @@
 	}
 
 	async #handle({request, response, body, url}: Exchange): Promise<void> {
-		const {id, isEngine} = this.options;
+		const {id, options: {isEngine}} = this;
 		const fault = this.faults.shift();
 		const requestId = String(request.headers['x-request-id']);
 		const isExpected = request.headers['x-expect-instance'] === id;
 		const isExecuted = isExpected && fault !== endpointFaults.reject;
 		const received: ReceivedRequest = {
 			requestId, path: `${url.pathname}${url.search}`, headers: request.headers, body: new TextDecoder().decode(body),
-			isExecuted, isExpected, receivedAt: performance.now(), isClosedEarly: false,
+			isExecuted, isExpected, endpointId: id, receivedAt: performance.now(), isClosedEarly: false,
 			...(fault === endpointFaults.reject && 'retry-after' in this.rejectionHeaders && {retryAfterMs: Number(this.rejectionHeaders['retry-after']) * 1000}),
 		};
 		this.receivedRequests.push(received);
@@ -164,9 +173,9 @@
 			received.isClosedEarly = !response.writableFinished;
 			received.closedAt = performance.now();
 		});
+		this.lateCopies.sendDue(request.socket);
 		if (!isExpected) {
-			response.writeHead(421, {'x-instance-id': id, 'x-request-id': requestId});
-			response.end();
+			this.lateCopies.refuse(response, 421, {'x-instance-id': id, 'x-request-id': requestId});
 		} else if (fault !== undefined && this.#applyFault(fault, request, response)) {
 			// The fault has replaced the response.
 		} else if (isEngine) {
@@ -183,13 +192,12 @@
 	/** @returns whether the fault replaced the whole response */
 	#applyFault(fault: EndpointFault, request: IncomingMessage, response: ServerResponse): boolean {
 		const requestId = String(request.headers['x-request-id']);
-		const {id} = this.options;
+		const {id} = this;
 		const handlers: Partial<Record<EndpointFault, () => void>> = {
 			reject: () => {
-				response.writeHead(503, {
+				this.lateCopies.refuse(response, 503, {
 					'x-not-executed': '1', 'x-request-id': requestId, ...this.statedHeaders, ...this.rejectionHeaders,
 				});
-				response.end();
 			},
 			error() {
 				response.writeHead(500, sealHeaders(id, requestId));
@@ -256,7 +264,7 @@
 	}
 
 	async #stream(request: IncomingMessage, response: ServerResponse, fault: EndpointFault | undefined): Promise<void> {
-		const {id, eventIntervalMs = 1, eventCount = 5} = this.options;
+		const {id, options: {eventIntervalMs = 1, eventCount = 5}} = this;
 		const first = Number(request.headers['last-event-id'] ?? 0) + 1;
 		const crashingPart = this.#findCrashingPart(request);
 		const writeHead = () => {
