--- a/soak/endpoints.ts
+++ b/soak/endpoints.ts
@@ -44,7 +44,7 @@
 
 /** An endpoint with its fixed address, at which its stand-in may be started again. */
 export type SoakEndpoint = {
-	readonly id: string;
+	id: string;
 	readonly service: string;
 	readonly availabilityZone: string;
 	readonly proxy: FaultProxy;
@@ -55,6 +55,8 @@
 	isBusy: boolean;
 	isCrashed?: boolean;
 	isRestarting?: boolean;
+	/** Whether it answers to an id that its record doesn't have yet. */
+	isTakingId?: boolean;
 };
 
 export type SoakEndpointsOptions = {
@@ -95,8 +97,7 @@
 
 	/** @param crashedPort port of the crashed endpoint that it replaces */
 	async add(service: string, availabilityZone: string, crashedPort?: number): Promise<void> {
-		this.#lastNumber++;
-		const id = `e${this.#lastNumber}`;
+		const id = this.#createId();
 		const standIn = await this.#startStandIn(id, service);
 		const proxy = this.#disposables.add(await FaultProxy.start({target: standIn.address, port: crashedPort ?? await findFreePort()}));
 		const endpoint: SoakEndpoint = {
@@ -174,9 +175,25 @@
 		endpoint.isRestarting = false;
 	}
 
+	/** Lets an endpoint answer to a new id at its address, while its connections stay open. Its record names the new id later. */
+	async takeNewId(endpoint: SoakEndpoint, untoldMs: Milliseconds): Promise<void> {
+		const {id: oldId, standIn} = endpoint;
+		endpoint.isTakingId = true;
+		standIn.id = this.#createId();
+		await delay(untoldMs);
+		endpoint.isTakingId = false;
+		// A crashed engine comes back under a third id.
+		if (endpoint.isCrashed !== true) {
+			this.options.store.remove(`servers/${oldId}`);
+			endpoint.id = standIn.id;
+			this.#writeEndpointRecord(endpoint);
+		}
+	}
+
 	receivedRequests(): ReceivedRequestRecord[] {
-		return this.#starts.flatMap(({endpoint, standIn}, start) => standIn.receivedRequests.map(({requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt}) => ({
-			requestId, receivedAt, isExecuted, isExpected, retryAfterMs, closedAt, start, endpoint: endpoint.id, service: endpoint.service, availabilityZone: endpoint.availabilityZone,
+		return this.#starts.flatMap(({endpoint: {service, availabilityZone}, standIn}, start) => standIn.receivedRequests.map(({requestId, endpointId, receivedAt, ...received}) => ({
+			requestId, receivedAt, isExecuted: received.isExecuted, isExpected: received.isExpected, retryAfterMs: received.retryAfterMs, closedAt: received.closedAt,
+			start, endpoint: endpointId, service, availabilityZone,
 		})));
 	}
 
@@ -186,6 +203,11 @@
 		await this.#disposables.dispose();
 	}
 
+	#createId(): string {
+		this.#lastNumber++;
+		return `e${this.#lastNumber}`;
+	}
+
 	/** Ends what an endpoint has stated, because a later start of it knows nothing of it. */
 	#endStatements({id}: SoakEndpoint): void {
 		for (const event of this.options.events) {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,8 +7,10 @@
 import type {RandomSource} from '../standins/random-source.js';
 import {sendPatientRequests} from './callers.js';
 import {bounds} from './checks.js';
-import type {ConfigurationChange} from './configuration.js';
-import {availabilityZones, engineService} from './endpoints.js';
+import {lookupServices, type ConfigurationChange} from './configuration.js';
+import {
+	availabilityZones, engineService, slowService, type SoakEndpoint,
+} from './endpoints.js';
 import type {FaultPeriod} from './history.js';
 import type {Instance, SoakSite} from './site.js';
 
@@ -36,6 +38,12 @@
 const slowLoadDelayMs: Milliseconds = 1600;
 const slowLoad = {count: 11, intervalMs: 120} as const;
 
+/** Time after which the store names the new id of an endpoint. */
+const untoldIdRange = {minimumMs: 50, maximumMs: 400} as const;
+
+/** Percentage of endpoints whose connections are reset when they take a new id. */
+const resetPercent = 30;
+
 function pickConfigurationChange(random: RandomSource): ConfigurationChange {
 	return {addedRoutes: random.pick([0, 300, 800])!, idleTimeoutMs: random.pick([300, 2000, 15_000])!};
 }
@@ -111,7 +119,46 @@
 
 /** Endpoints whose service has others when they are removed. */
 function findRemovableEndpoints(site: SoakSite) {
-	return site.endpoints.current.filter(({service, isBusy}) => !isBusy && site.endpoints.current.filter(other => other.service === service && !other.isBusy).length > minimumRemainingEndpoints);
+	const countRemaining = (service: string) => site.endpoints.current.filter(other => other.service === service && !other.isBusy).length;
+	return site.endpoints.current.filter(({service, isBusy, isTakingId}) => !isBusy && isTakingId !== true && countRemaining(service) > minimumRemainingEndpoints);
+}
+
+/** Endpoints whose id may change: the history records limits and faults of connections under one id. Requests to the slow service outlast the change. */
+function findRenamableEndpoints(site: SoakSite): SoakEndpoint[] {
+	return site.endpoints.current.filter(({service, isBusy, isTakingId, proxy, standIn}) => service !== slowService && !isBusy && isTakingId !== true
+		&& !('server-limit' in standIn.statedHeaders) && (activeFaultCounts.get(proxy) ?? 0) === 0);
+}
+
+/** Gives new ids to endpoints. Their connections stay open, or are reset. */
+async function changeIds(site: SoakSite, random: RandomSource, endpoints: readonly SoakEndpoint[]): Promise<void> {
+	await recordFaultPeriod(site, {kind: 'endpoint-ids'}, async () => {
+		await Promise.all(endpoints.map(async endpoint => {
+			const told = site.endpoints.takeNewId(endpoint, random.integer(untoldIdRange.minimumMs, untoldIdRange.maximumMs));
+			if (random.chance(resetPercent)) {
+				endpoint.proxy.resetConnections();
+			}
+
+			await told;
+		}));
+	});
+}
+
+/** Lets endpoints refuse some requests and send late copies of all their refusals. */
+async function copyRefusals(site: SoakSite, random: RandomSource, endpoints: readonly SoakEndpoint[], durationMs: Milliseconds): Promise<void> {
+	await recordFaultPeriod(site, {kind: 'endpoint-answers'}, async () => {
+		await Promise.all(endpoints.map(async ({standIn}) => {
+			standIn.lateCopies.isEnabled = true;
+			for (const until = performance.now() + durationMs; performance.now() < until;) {
+				standIn.faults.push(endpointFaults.reject);
+				// eslint-disable-next-line no-await-in-loop
+				await delay(random.integer(50, 400));
+			}
+
+			// Refusals and copies that no request has met would be met outside of the recorded period.
+			standIn.faults.length = 0;
+			standIn.lateCopies.isEnabled = false;
+		}));
+	});
 }
 
 /** Planned changes, during which every caller must still get its response. */
@@ -250,7 +297,7 @@
 		});
 	},
 	async endpointConnections(site, random) {
-		const {id, proxy} = random.pick(site.endpoints.current)!;
+		const {id, proxy} = random.pick(site.endpoints.current.filter(({isTakingId}) => isTakingId !== true))!;
 		const fault = pickConnectionFault(random, delayRanges.endpoint);
 		await recordFaultPeriod(site, {kind: 'endpoint-connections', endpoint: id}, async () => applyProxyFault(proxy, fault, random.integer(200, 2500)));
 	},
@@ -284,6 +331,29 @@
 		// Rejections that no request has met would be met outside of a recorded period.
 		standIn.faults.length = 0;
 	},
+	async copiesOfRefusals(site, random) {
+		await copyRefusals(site, random, [random.pick(site.endpoints.current)!], random.integer(1000, 3000));
+	},
+	async newId(site, random) {
+		const endpoint = random.pick(findRenamableEndpoints(site));
+		if (endpoint !== undefined) {
+			await changeIds(site, random, [endpoint]);
+		}
+	},
+	/** All endpoints of a service take new ids again and again while they copy refusals, so that refused requests wait for the records. */
+	async newIdsAmongCopies(site, random) {
+		const service = random.pick([engineService, ...lookupServices])!;
+		const durationMs = random.integer(2000, 5000);
+		const copying = copyRefusals(site, random, site.endpoints.current.filter(endpoint => endpoint.service === service), durationMs);
+		for (const until = performance.now() + durationMs; performance.now() < until;) {
+			// eslint-disable-next-line no-await-in-loop
+			await changeIds(site, random, findRenamableEndpoints(site).filter(endpoint => endpoint.service === service));
+			// eslint-disable-next-line no-await-in-loop
+			await delay(random.integer(100, 1000));
+		}
+
+		await copying;
+	},
 	/** Engines crash one after the other under requests with one part in their prompts. */
 	async crashingPart(site, random) {
 		const part = site.prompts.startCrashingPart();
