--- a/review/support-2/harness.mjs
+++ b/review/support-2/harness.mjs
@@ -48,6 +48,8 @@
 
 	items = new Map();
 	revision = 1;
+	/** Rises each time the store comes back from a copy. */
+	era = 1;
 	/** Answers every call in place of the store. */
 	fault = undefined;
 
@@ -67,7 +69,18 @@
 		this.items.delete(key);
 	}
 
+	copy() {
+		return {items: new Map(this.items), revision: this.revision};
+	}
+
+	restore({items, revision}) {
+		this.items = new Map(items);
+		this.revision = revision;
+		this.era++;
+	}
+
 	handle(request, response) {
+		response.setHeader('store-era', String(this.era));
 		if (this.fault?.(request, response) === true) {
 			return;
 		}
