--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -7,7 +7,7 @@
 const seedCount = 3;
 
 /** Requests a second of all clients for the model workers, as in calm on the sheet of the site. */
-const requestsPerSecond = 120;
+const requestsPerSecond = 110;
 
 /** The machines that are not seeds start again after this time, and the seeds, which have lost power, after the other one. */
 const restartMs = 300;
