--- a/src/gateway/observability/monitoring-server.ts
+++ b/src/gateway/observability/monitoring-server.ts
@@ -26,7 +26,7 @@
 
 /** Load balancers and collectors of metrics wait for a response before their next request. */
 const inputLimits: RequestInputLimits = {
-	pieceBytes: 64, openRequests: 8, writtenResponses: 2, pipelinedRequests: 64, heldBytes: 4_194_304,
+	openRequests: 8, writtenResponses: 2, pipelinedRequests: 64, pipelinedBytes: 1_048_576, heldBytes: 4_194_304,
 };
 
 /** What the responses that callers have not taken may hold, in bytes. Metrics have some 10,000. */
--- a/src/shared/request-input.ts
+++ b/src/shared/request-input.ts
@@ -1,33 +1,51 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {MemoryBudget, type MemoryAccount} from './memory-budget.js';
+import {pieceKinds, RequestFramer, type Piece} from './request-framer.js';
 import {resetConnection} from './reset-connection.js';
 
-/** Bytes that the parser gets at once, where a request may end, while the requests of all connections are at their limit. */
-const shortPieceBytes = 64;
-
-/** Requests that arrived together after which a connection lets others go first. Their responses are created after them. */
+/** Requests that arrived together, and what their heads cost, after which a connection lets others go first. Their responses are created after them. */
 const requestsPerTurn = 64;
+const costPerTurn = 65_536;
+
+/** What heads may cost in a round of the event loop before connections with a head above `ordinaryCost` wait for their turn. */
+const costPerRound = 262_144;
+const ordinaryCost = 16_384;
+
+/** Processor time and memory that a header line takes while its head is parsed, in bytes that take as much. */
+const costPerLine = 64;
+
+/** What a request behind an open one holds beside its head, in bytes. */
+const requestBytes = 1024;
 
 /** What may have arrived on a connection after it was paused: Node.js pauses the reading with its next chunk. */
 const readAheadBytes = 65_536;
 
+/** Length of an incomplete head above which it is given to the parser, which refuses it. */
+const maximumHeadBytes = 65_536;
+
+const noBytes = new Uint8Array(0);
+
+/** First size of the buffer for what has arrived and is not parsed yet. */
+const minimumBufferBytes = 512;
+
 export type RequestInputLimits = {
-	/** Bytes that the parser gets at once, where a request may end. The parser can't stop within them, and the shortest request has 18 bytes. */
-	readonly pieceBytes: number;
 	/** Requests of one connection whose responses have not been taken by the operating system. */
 	readonly openRequests: number;
 	/** Those of them whose responses have been written completely. */
 	readonly writtenResponses: number;
 	/** Requests of all connections behind the first open one of each. */
 	readonly pipelinedRequests: number;
-	/** What all connections that are not read may hold. */
+	/** What these requests may hold, in bytes. */
+	readonly pipelinedBytes: number;
+	/** What all connections may hold that has arrived and is not parsed yet, in bytes. */
 	readonly heldBytes: number;
 };
 
-/** No caller that waits for a response before its next request has more than one open request, or holds anything. */
+/** No caller that waits for a response before its next request has more than one open request. */
 export const defaultRequestInputLimits: RequestInputLimits = {
-	pieceBytes: 1024, openRequests: 512, writtenResponses: 64, pipelinedRequests: 2048, heldBytes: 8_388_608,
+	openRequests: 512, writtenResponses: 64, pipelinedRequests: 2048, pipelinedBytes: 4_194_304, heldBytes: 8_388_608,
 };
 
 export type ConnectionInputOptions = {
@@ -49,6 +67,9 @@
 	readonly #waiting = new Set<ConnectionInput>();
 	#isTurnAwaited = false;
 	#pipelinedRequests = 0;
+	#pipelinedBytes = 0;
+	/** What the heads of the current round of the event loop cost. */
+	#costInRound = 0;
 
 	private constructor(readonly limits: RequestInputLimits) {
 		this.#heldMemory = MemoryBudget.create(limits.heldBytes);
@@ -60,7 +81,7 @@
 	}
 
 	get isFull(): boolean {
-		return this.#pipelinedRequests >= this.limits.pipelinedRequests;
+		return this.#pipelinedRequests >= this.limits.pipelinedRequests || this.#pipelinedBytes >= this.limits.pipelinedBytes;
 	}
 
 	/** Takes over the reading of a connection that the HTTP server has just accepted. */
@@ -72,9 +93,32 @@
 		return this.#heldMemory.openAccount(onExceeded);
 	}
 
-	recordPipelined(change: number): void {
+	/** Whether a head may be parsed in this round of the event loop without a turn. */
+	hasRoomInRound(cost: number): boolean {
+		return cost <= ordinaryCost || this.#costInRound + cost <= costPerRound;
+	}
+
+	recordHead(cost: number): void {
+		if (this.#costInRound === 0) {
+			setImmediate(() => {
+				this.#costInRound = 0;
+			});
+		}
+
+		this.#costInRound += cost;
+	}
+
+	/** @param bytes what the request holds */
+	recordPipelined(bytes: number): void {
+		this.#pipelinedRequests++;
+		this.#pipelinedBytes += bytes;
+	}
+
+	/** @param bytes what the request held */
+	recordPipelinedEnd(bytes: number): void {
 		const wasFull = this.isFull;
-		this.#pipelinedRequests += change;
+		this.#pipelinedRequests--;
+		this.#pipelinedBytes -= bytes;
 		if (wasFull && !this.isFull) {
 			// Those that stay held are added again, behind the others.
 			const waiting = [...this.#held];
@@ -131,23 +175,29 @@
 /**
 What arrives on one connection, on its way to the HTTP parser.
 
-Node.js stops reading a connection when a request arrives behind responses that the caller does not take, but the parser first goes through everything of the same reading. So the parser gets short pieces here, and nothing while the connection is paused.
+Node.js stops reading a connection when a request arrives behind responses that the caller does not take, but the parser first goes through everything of the same reading, and it keeps each line of an incomplete head as strings that take many times its bytes. So the parser gets one head at a time here, only when it is complete, and nothing while the connection is paused.
 */
 export class ConnectionInput {
 	readonly #parse: (chunk: Uint8Array) => void;
 	readonly #account: MemoryAccount;
-	/** Requests whose responses have not been handed to the operating system. */
-	readonly #open = new Set<ServerResponse>();
+	readonly #framer = RequestFramer.create();
+	/** Requests whose responses have not been handed to the operating system, with the bytes that they hold behind an open one. */
+	readonly #open = new Map<ServerResponse, number>();
 	/** Those of them whose responses have been written completely. */
 	readonly #written = new Set<ServerResponse>();
-	#chunks: Uint8Array[] = [];
-	#heldBytes = 0;
-	#parsedBytes = 0;
-	/** Number of parsed bytes up to which there is certainly nothing but the body of the last request. */
-	#bodyUntil = 0;
-	/** Requests since the connection was last empty, or had its last turn. */
+	/** Holds what has arrived and has not been parsed, from `#start` to `#end`. */
+	#buffer: Uint8Array = noBytes;
+	#start = 0;
+	#end = 0;
+	#head: Piece | undefined;
+	/** Requests since the connection was last empty, or had its last turn, and what their heads cost. */
 	#requestsInTurn = 0;
+	#costInTurn = 0;
 	#isTurnAwaited = false;
+	/** Whether the connection had to wait for its turn before the next head. */
+	#hasTurn = false;
+	/** Whether something complete waits to be parsed. */
+	#isBlocked = false;
 	#isParsing = false;
 	#isPaused = false;
 	#isDiscarded = false;
@@ -162,8 +212,7 @@
 		});
 		socket.off('data', this.#parse);
 		socket.on('data', chunk => {
-			this.#chunks.push(chunk);
-			this.#heldBytes += chunk.byteLength;
+			this.#append(chunk);
 			this.proceed();
 		});
 		// The HTTP server and others pause and resume the connection for reasons of their own.
@@ -178,7 +227,7 @@
 			this.discard();
 			this.#account.close();
 			this.input.recordClosed(this);
-			for (const response of this.#open) {
+			for (const response of this.#open.keys()) {
 				this.end(response);
 			}
 		});
@@ -186,7 +235,12 @@
 
 	/** Bytes that have arrived and have not been parsed. */
 	get heldBytes(): number {
-		return this.#heldBytes;
+		return this.#end - this.#start;
+	}
+
+	/** Length of the head that was parsed last, as it was sent. */
+	get headBytes(): number {
+		return this.#head?.length ?? 0;
 	}
 
 	get openRequests(): number {
@@ -199,14 +253,14 @@
 
 	/** Records a request whose head has just been parsed. */
 	begin(response: ServerResponse): void {
-		this.#open.add(response);
-		this.#requestsInTurn++;
-		if (this.#open.size > 1) {
-			this.input.recordPipelined(1);
+		const bytes = this.#open.size === 0 ? 0 : requestBytes + this.headBytes;
+		this.#open.set(response, bytes);
+		if (bytes > 0) {
+			this.input.recordPipelined(bytes);
 		}
 
-		const bodyBytes = Number(response.req.headers['content-length'] ?? 0);
-		this.#bodyUntil = this.#parsedBytes + (Number.isSafeInteger(bodyBytes) ? bodyBytes : 0);
+		const {headers} = response.req;
+		this.#framer.beginBody({isChunked: headers['transfer-encoding'] !== undefined, length: Number(headers['content-length'] ?? 0)});
 	}
 
 	/** Records that the last byte of a response has been written. */
@@ -218,19 +272,20 @@
 
 	/** Records that a response has been handed to the operating system, or that its connection has closed. */
 	end(response: ServerResponse): void {
-		if (!this.#open.delete(response)) {
+		const bytes = this.#open.get(response);
+		if (bytes === undefined) {
 			return;
 		}
 
+		this.#open.delete(response);
 		this.#written.delete(response);
-		const wasPipelined = this.#open.size > 0;
-		if (!wasPipelined && this.#heldBytes === 0) {
-			this.#requestsInTurn = 0;
+		if (this.#open.size === 0 && this.heldBytes === 0) {
+			this.#resetTurn();
 		}
 
 		this.proceed();
-		if (wasPipelined) {
-			this.input.recordPipelined(-1);
+		if (bytes > 0) {
+			this.input.recordPipelinedEnd(bytes);
 		}
 	}
 
@@ -243,7 +298,8 @@
 	/** Goes on after other connections have gone first. */
 	beginTurn(): void {
 		this.#isTurnAwaited = false;
-		this.#requestsInTurn = 0;
+		this.#resetTurn();
+		this.#hasTurn = true;
 		this.proceed();
 	}
 
@@ -261,13 +317,15 @@
 
 		this.#isParsing = true;
 		try {
+			this.#isBlocked = false;
 			this.#parseHeld();
 		} finally {
 			this.#isParsing = false;
 		}
 
+		this.#shrinkBuffer();
 		// A caller that waits for its only response is not held: it has sent nothing ahead.
-		const isHeld = this.#heldBytes > 0 || (this.#open.size > 1 && !this.#mayRead());
+		const isHeld = this.#isBlocked || (this.#open.size > 1 && !this.#mayRead());
 		if (isHeld && !this.socket.isPaused()) {
 			this.#isPaused = true;
 			this.socket.pause();
@@ -275,30 +333,77 @@
 
 		this.input.recordHeld(this, isHeld);
 		try {
-			this.#account.setReserved(isHeld ? this.#heldBytes + readAheadBytes : 0);
+			this.#account.setReserved(this.#buffer.buffer.byteLength + (isHeld ? readAheadBytes : 0));
 		} catch {
 			this.#exceed();
 		}
 	}
 
 	#parseHeld(): void {
-		while (this.#chunks.length > 0 && !this.socket.destroyed) {
+		while (this.heldBytes > 0 && !this.socket.destroyed) {
 			if (this.#isDiscarded || this.options.isDiscarded?.() === true) {
 				this.#clear();
-			} else if (this.#mayParse()) {
-				const piece = this.#takePiece();
-				this.#parse.call(this.socket, piece);
-				this.#parsedBytes += piece.byteLength;
-				if (this.#requestsInTurn >= requestsPerTurn) {
-					this.#isTurnAwaited = true;
-					this.input.awaitTurn(this);
-				}
-			} else {
 				return;
 			}
+
+			if (!this.#mayParse()) {
+				this.#isBlocked = true;
+				return;
+			}
+
+			const piece = this.#framer.next(this.#buffer.subarray(this.#start, this.#end));
+			if (piece.kind === pieceKinds.head && !this.#mayParseHead(piece)) {
+				this.#isBlocked = true;
+				return;
+			}
+
+			if (piece.kind === pieceKinds.incomplete && piece.length <= maximumHeadBytes) {
+				return;
+			}
+
+			this.#parsePiece(piece);
 		}
 	}
 
+	#parsePiece(piece: Piece): void {
+		const bytes = this.#buffer.subarray(this.#start, this.#start + piece.length);
+		this.#start += piece.length;
+		if (piece.kind !== pieceKinds.head) {
+			this.#parse.call(this.socket, bytes);
+			return;
+		}
+
+		this.#head = piece;
+		this.#hasTurn = false;
+		this.#requestsInTurn++;
+		this.#costInTurn += costOf(piece);
+		this.input.recordHead(costOf(piece));
+		this.#parse.call(this.socket, bytes);
+		if (this.#requestsInTurn >= requestsPerTurn || this.#costInTurn >= costPerTurn) {
+			this.#awaitTurn();
+		}
+	}
+
+	/** Whether no other connection goes first. */
+	#mayParseHead(head: Piece): boolean {
+		if (this.#hasTurn || this.input.hasRoomInRound(costOf(head))) {
+			return true;
+		}
+
+		this.#awaitTurn();
+		return false;
+	}
+
+	#awaitTurn(): void {
+		this.#isTurnAwaited = true;
+		this.input.awaitTurn(this);
+	}
+
+	#resetTurn(): void {
+		this.#requestsInTurn = 0;
+		this.#costInTurn = 0;
+	}
+
 	/** Whether the responses to earlier requests are being taken, and no other connection goes first. */
 	#mayRead(): boolean {
 		const {openRequests, writtenResponses} = this.input.limits;
@@ -311,7 +416,7 @@
 
 	/** Whether what arrives belongs to no request behind an open one. The requests of other connections must not delay it. */
 	#awaitsFirstBody(): boolean {
-		const [first] = this.#open;
+		const [first] = this.#open.keys();
 		return first === undefined || (this.#open.size === 1 && !first.req.complete);
 	}
 
@@ -319,23 +424,44 @@
 		return this.#mayRead() && !this.socket.isPaused() && !isPausedByServer(this.socket);
 	}
 
-	#takePiece(): Uint8Array {
-		const [chunk] = this.#chunks;
-		const length = Math.max(this.input.isFull ? shortPieceBytes : this.input.limits.pieceBytes, this.#bodyUntil - this.#parsedBytes);
-		if (chunk!.byteLength <= length) {
-			this.#chunks.shift();
-		} else {
-			this.#chunks[0] = chunk!.subarray(length);
+	#append(chunk: Uint8Array): void {
+		const held = this.heldBytes;
+		if (held === 0) {
+			this.#buffer = chunk;
+			this.#start = 0;
+			this.#end = chunk.byteLength;
+			return;
+		}
+
+		if (this.#end + chunk.byteLength > this.#buffer.byteLength) {
+			this.#moveTo(Buffer.allocUnsafeSlow(Math.max(minimumBufferBytes, 2 * (held + chunk.byteLength))));
 		}
 
-		const piece = chunk!.subarray(0, length);
-		this.#heldBytes -= piece.byteLength;
-		return piece;
+		this.#buffer.set(chunk, this.#end);
+		this.#end += chunk.byteLength;
+	}
+
+	/** Keeps no more memory than what is held needs. */
+	#shrinkBuffer(): void {
+		const held = this.heldBytes;
+		if (held === 0) {
+			this.#clear();
+		} else if (this.#buffer.buffer.byteLength > Math.max(minimumBufferBytes, 4 * held)) {
+			this.#moveTo(Buffer.allocUnsafeSlow(held));
+		}
+	}
+
+	#moveTo(buffer: Uint8Array): void {
+		buffer.set(this.#buffer.subarray(this.#start, this.#end));
+		this.#end = this.heldBytes;
+		this.#start = 0;
+		this.#buffer = buffer;
 	}
 
 	#clear(): void {
-		this.#chunks = [];
-		this.#heldBytes = 0;
+		this.#buffer = noBytes;
+		this.#start = 0;
+		this.#end = 0;
 	}
 
 	#exceed(): void {
@@ -345,6 +471,11 @@
 	}
 }
 
+/** What it takes to parse a head, in bytes. */
+function costOf({length, lines}: Piece): number {
+	return length + (lines * costPerLine);
+}
+
 /** Whether the HTTP server has paused its parser, which fails when it is called. The server resumes both when the responses are taken. */
 function isPausedByServer(socket: Socket): boolean {
 	return (socket as {_paused?: boolean})._paused === true;
