--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -178,6 +178,11 @@
 	get heldCount(): number {
 		return this.#input.held.size;
 	}
+	/** Returns the length of the head that was read last on a connection, as it was sent. */
+	headBytes(socket: Socket): number {
+		return this.#connections.get(socket)?.input.headBytes ?? 0;
+	}
+
 
 	/** Whether no other request has been read on the connection since. */
 	isLastRequest(response: ServerResponse): boolean {
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -34,18 +34,6 @@
 /** Time after which a caller may retry whose body found no memory: bodies are passed on, or time out, within a second or two. */
 const memoryRetryAfterMs: Milliseconds = 1000;
 
-/** Returns the length of the request line and the header fields as they were sent, including line ends and separators. */
-function headerBytesOf({method = '', url = '', rawHeaders}: IncomingMessage): number {
-	const separators = ' '.length + ' HTTP/1.1\r\n'.length;
-	let bytes = method.length + url.length + separators;
-	for (const text of rawHeaders) {
-		// Each name and each value is followed by two characters: a colon and a space, or a line end.
-		bytes += text.length + 2;
-	}
-
-	return bytes;
-}
-
 /** The last response on a connection, to what is not a complete request. */
 function responseWithoutBody(status: string): string {
 	return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
@@ -131,6 +119,8 @@
 		this.#server.on('timeout', () => {
 			// Without a listener, Node.js destroys the connection.
 		});
+		// Node.js drops further lines silently. Their memory is limited by the bytes of the head.
+		this.#server.maxHeadersCount = 0;
 		this.#server.headersTimeout = 0;
 		this.#server.requestTimeout = 0;
 		this.#server.on('checkExpectation', (message, response) => {
@@ -327,7 +317,7 @@
 				}
 			}
 		});
-		if (headerBytesOf(message) > limits.headerBytes) {
+		if (this.#connections.headBytes(socket) > limits.headerBytes) {
 			fail('headersTooLarge');
 		} else if (message.httpVersion === '1.1' && message.headers.host === undefined) {
 			fail('malformedRequest');
