--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {SocketAddress} from '../../shared/address.js';
@@ -16,6 +16,8 @@
 import {CallerConnections} from './caller-connections.js';
 import {ChunkPacer} from './chunk-pacer.js';
 import {HttpResponse} from './http-response.js';
+import {PackedHeaders} from './packed-headers.js';
+import type {CallerRequestMetadata} from './types.js';
 
 /** Limits that apply until a configuration is known. */
 const defaultLimits: CallerLimits = {
@@ -31,7 +33,13 @@
 /** Connections that may wait to be accepted. After a start, many callers connect at once. */
 const backlog = 1024;
 
-/** Time after which a caller may retry whose body found no memory: bodies are passed on, or time out, within a second or two. */
+/** What an open request holds beside its head, body and response, in bytes. */
+const requestBytes = 1024;
+
+/** Copies of a head that an open request holds: its fields, and what was read from them. */
+const headCopies = 2;
+
+/** Time after which a caller may retry whose request found no memory: requests are passed on, or time out, within a second or two. */
 const memoryRetryAfterMs: Milliseconds = 1000;
 
 /** The last response on a connection, to what is not a complete request. */
@@ -43,7 +51,10 @@
 
 /** A request that has been received completely. */
 export type ReceivedRequest = {
+	/** Its header fields are in `metadata` and `headers`. */
 	readonly message: IncomingMessage;
+	readonly metadata: CallerRequestMetadata;
+	readonly headers: PackedHeaders;
 	readonly body?: Uint8Array;
 	/** When its head was read. */
 	readonly arrivedAt: Milliseconds;
@@ -52,6 +63,10 @@
 	readonly response: HttpResponse;
 	/** Sets the function to call when the caller leaves, or its connection closes, before the response is complete. */
 	onDisconnect(callback: () => void): void;
+	/** Sets the function that refuses the request when other requests need its memory. It is called until `keepInMemory`. */
+	onMemoryExceeded(callback: () => void): void;
+	/** Keeps the request in memory from now on, because it is being sent. */
+	keepInMemory(): void;
 };
 
 export type CallerServerOptions = {
@@ -59,10 +74,13 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly readingProgress: ReadingProgress;
+	/** What the heads of all requests may hold. */
+	readonly headMemory: MemoryBudget;
 	/** What the bodies of all requests may hold. */
 	readonly requestMemory: MemoryBudget;
 	/** What the responses to all requests may hold. */
 	readonly responseMemory: MemoryBudget;
+	readonly decodeHeaders: (headers: IncomingHttpHeaders) => CallerRequestMetadata;
 	readonly onRequest: (request: ReceivedRequest) => void;
 };
 
@@ -241,6 +259,7 @@
 			onLeave: reportDisconnect,
 			onEnd: () => {
 				clearTimeout(bodyTimer);
+				headMemory.close();
 				requestMemory.close();
 				responseMemory.close();
 				this.#openRequests--;
@@ -261,6 +280,19 @@
 		const waitingSince = readingProgress.isLate() ? arrivedAt - readingProgress.unreadMs() : arrivedAt;
 		// They stay the same while the request is read.
 		const limits = this.#limits;
+		const hasHost = message.headers.host !== undefined;
+		const metadata = this.options.decodeHeaders(message.headers);
+		const headers = PackedHeaders.create(message.rawHeaders);
+		message.rawHeaders = [];
+		message.headers = {};
+		const heldHeadBytes = headCopies * this.#connections.headBytes(socket);
+		let refuse = () => {
+			fail('memoryExhausted');
+		};
+
+		const headMemory = this.options.headMemory.openAccount(() => {
+			refuse();
+		});
 		const requestMemory = this.options.requestMemory.openAccount(() => {
 			fail('memoryExhausted');
 		});
@@ -274,6 +306,8 @@
 				this.#connections.announceClose(response);
 			},
 			onWritten: () => {
+				headMemory.release(heldHeadBytes - message.url!.length);
+				headMemory.unpin();
 				this.#connections.recordWritten(response);
 			},
 		});
@@ -319,12 +353,19 @@
 		});
 		if (this.#connections.headBytes(socket) > limits.headerBytes) {
 			fail('headersTooLarge');
-		} else if (message.httpVersion === '1.1' && message.headers.host === undefined) {
+		} else if (message.httpVersion === '1.1' && !hasHost) {
 			fail('malformedRequest');
+		} else {
+			try {
+				headMemory.reserve(heldHeadBytes + requestBytes);
+			} catch {
+				fail('memoryExhausted');
+			}
 		}
 
 		message.on('end', () => {
 			clearTimeout(bodyTimer);
+			message.rawTrailers = [];
 			this.#chunkPacer.recordEnd(message);
 			requestMemory.pin();
 			this.#whenCallerIsPresent(socket, () => {
@@ -337,6 +378,8 @@
 					requestMemory.reserve(bytes.byteLength);
 					this.options.onRequest({
 						message,
+						metadata,
+						headers,
 						body: bytes.byteLength === 0 ? undefined : bytes,
 						arrivedAt,
 						waitingSince,
@@ -344,6 +387,12 @@
 						onDisconnect(callback) {
 							onDisconnect = callback;
 						},
+						onMemoryExceeded(callback) {
+							refuse = callback;
+						},
+						keepInMemory() {
+							headMemory.pin();
+						},
 					});
 				} catch (error) {
 					this.options.log.event('request-error', {reason: describeError(error)});
--- a/src/gateway/callers/failures.ts
+++ b/src/gateway/callers/failures.ts
@@ -9,7 +9,7 @@
 	headersTooLarge: {status: 431, title: 'The headers are too large'},
 	bodyTooLarge: {status: 413, title: 'The body is too large'},
 	bodyTimeout: {status: 408, title: 'The body did not arrive in time'},
-	memoryExhausted: {status: 503, title: 'This instance has no memory for the body'},
+	memoryExhausted: {status: 503, title: 'This instance has no memory for the request'},
 	quotaExceeded: {status: 429, title: 'The workspace has used its quota'},
 	noConfiguration: {status: 503, title: 'No configuration is known yet'},
 	stale: {status: 503, title: 'What is known of the configuration is too old'},
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -35,6 +35,9 @@
 /** Time after which a caller may retry whose request was not sent because the site state had become too old. */
 const staleRetryAfterMs: Milliseconds = 300;
 
+/** Time after which a caller may retry whose request was refused in favour of others. */
+const memoryRetryAfterMs: Milliseconds = 1000;
+
 /** Parts of a prompt that a log line names. */
 const maximumLoggedParts = 8;
 
@@ -208,6 +211,16 @@
 		});
 	}
 
+	/** Refuses a request that waits and was not sent, because others need its memory. */
+	refuseForMemory(): void {
+		if (this.#isEnded || this.isInFlight || this.#possiblyRunBy.size > 0) {
+			return;
+		}
+
+		this.context.scheduler.withdraw(this.#waitingRequest);
+		this.#fail({type: 'memoryExhausted', retryAfterMs: memoryRetryAfterMs});
+	}
+
 	/** Answers the request because the process ends. */
 	endForStop(): void {
 		if (this.#isEnded) {
@@ -411,6 +424,7 @@
 			isContinuation: this.#isHeadSent,
 			isExtra,
 		});
+		context.onDispatch();
 		this.#attempts.add(attempt);
 		if (isExtra) {
 			this.#extraAttempt.track(attempt);
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -123,6 +123,8 @@
 	readonly containment: Pick<CrashContainment, 'withholdAdmitted' | 'recordBroken' | 'recordAbandoned' | 'recordShortResponse' | 'recordSurvival'>;
 	/** Called when a response does not belong to the request that was due, or is not the endpoint's own. */
 	readonly onForeignAnswer: () => void;
+	/** Called when an attempt begins. */
+	readonly onDispatch: () => void;
 	readonly onAttemptEnd: (outcome: AttemptOutcome) => void;
 	/** @param savedMs estimated time by which the response came earlier, if it won */
 	readonly onExtraAttempt: (outcome: ExtraAttemptOutcome, savedMs?: Milliseconds) => void;
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -45,7 +45,8 @@
 import {StatedRestrictions} from './statements/stated-restrictions.js';
 import {PlannedStop} from './stopping/planned-stop.js';
 
-/** What the bodies of all requests, and the responses to them, may hold in memory, in bytes. The smallest instances have 178 MB, and the process takes half of it without any. */
+/** What the heads and bodies of all requests, and the responses to them, may hold in memory, in bytes. The smallest instances have 178 MB, and the process takes half of it without any. */
+const maximumHeadBytes = 12_582_912;
 const maximumRequestBytes = 12_582_912;
 const maximumResponseBytes = 12_582_912;
 
@@ -93,6 +94,7 @@
 	readonly #admission: Admission;
 	readonly #explainer: Explainer;
 	readonly #callerServer: CallerServer;
+	readonly #headMemory = MemoryBudget.create(maximumHeadBytes);
 	readonly #requestMemory = MemoryBudget.create(maximumRequestBytes);
 	readonly #responseMemory = MemoryBudget.create(maximumResponseBytes);
 	readonly #siteReader: SiteReaderTask;
@@ -186,8 +188,10 @@
 			clock,
 			log,
 			readingProgress: this.#readingProgress,
+			headMemory: this.#headMemory,
 			requestMemory: this.#requestMemory,
 			responseMemory: this.#responseMemory,
+			decodeHeaders: headers => options.protocol.decodeRequestHeaders(headers),
 			onRequest: request => {
 				this.#onRequest(request);
 			},
@@ -339,9 +343,8 @@
 		}
 	}
 
-	#onRequest({message, body, arrivedAt, waitingSince, response, onDisconnect}: ReceivedRequest): void {
+	#onRequest({message, metadata, headers, body, arrivedAt, waitingSince, response, onDisconnect, onMemoryExceeded, keepInMemory}: ReceivedRequest): void {
 		const {protocol, clock, freshnessClock, log} = this.options;
-		const metadata = protocol.decodeRequestHeaders(message.headers);
 		const path = message.url ?? '';
 		if (!this.#plannedStop.acceptsRequests) {
 			log.event('request-refused', {requestId: metadata.requestId, reason: 'stopping'});
@@ -374,7 +377,9 @@
 			metadata: {...metadata, requestId: metadata.requestId!},
 			method: message.method ?? 'GET',
 			path,
-			rawHeaders: message.rawHeaders,
+			get rawHeaders() {
+				return headers.unpack();
+			},
 			body,
 			route,
 			service,
@@ -411,6 +416,7 @@
 			onForeignAnswer: () => {
 				this.#metrics.recordForeignAnswer();
 			},
+			onDispatch: keepInMemory,
 			onAttemptEnd: outcome => {
 				this.#metrics.recordAttempt(outcome);
 			},
@@ -436,6 +442,9 @@
 		onDisconnect(() => {
 			task.handleCallerDisconnect();
 		});
+		onMemoryExceeded(() => {
+			task.refuseForMemory();
+		});
 		task.start();
 	}
 
--- a/src/shared/memory-budget.ts
+++ b/src/shared/memory-budget.ts
@@ -60,11 +60,15 @@
 		}
 	}
 
-	/** Keeps what is reserved until the account is closed, whoever else asks for memory. */
+	/** Keeps what is reserved until the account is closed or unpinned, whoever else asks for memory. */
 	pin(): void {
 		this.#isPinned = true;
 	}
 
+	unpin(): void {
+		this.#isPinned = false;
+	}
+
 	/** Releases everything. Nothing more can be reserved. */
 	close(): void {
 		this.#isClosed = true;
--- a/test/gateway/callers/shared-memory.test.ts
+++ b/test/gateway/callers/shared-memory.test.ts
@@ -20,7 +20,7 @@
 
 // Guards against bodies that use up the memory although each one stays below its limit.
 test('of bodies that are too large together the largest is refused, and smaller requests go on', async t => {
-	const {address, requests} = await startCallerServer(t, limits, respondWithDone, memoryBytes);
+	const {address, requests} = await startCallerServer(t, limits, respondWithDone, {memoryBytes});
 	const callers: RawCaller[] = [];
 	for (let count = 0; count < 3; count++) {
 		// eslint-disable-next-line no-await-in-loop
@@ -43,7 +43,7 @@
 	const received: ReceivedRequest[] = [];
 	const {address} = await startCallerServer(t, limits, request => {
 		received.push(request);
-	}, memoryBytes);
+	}, {memoryBytes});
 	const first = await RawCaller.connect(address);
 	first.write(head(largeBytes));
 	first.write(Buffer.alloc(largeBytes, 'a'));
@@ -78,7 +78,7 @@
 
 		request.response.writeHead(200, {'content-length': String(largeBytes)});
 		request.response.end(Buffer.alloc(largeBytes, 'x'));
-	}, memoryBytes);
+	}, {memoryBytes});
 	const slow: RawCaller[] = [];
 	for (let count = 1; count <= 3; count++) {
 		// eslint-disable-next-line no-await-in-loop
