--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -39,6 +39,8 @@
 	/** Idle timeout that the last response announced. */
 	announcedTimeoutMs: Milliseconds;
 	idleSince: Milliseconds;
+	/** Arrival of the last request. */
+	requestedAt: Milliseconds;
 	/** Time until which the head that is arriving must be complete. */
 	headDueAt: Milliseconds | undefined;
 	lastResponse: ServerResponse | undefined;
@@ -58,6 +60,10 @@
 export type CallerConnectionsOptions = {
 	readonly clock: Clock;
 	readonly limits: () => CallerLimits;
+	/** Connections that may be open. When there are more, the one that has been waiting for its caller for longest is closed. */
+	readonly maximumConnections: number;
+	/** Called after the checks with the number of connections that were closed since the last ones because there were too many. */
+	readonly onTooMany: (closed: number) => void;
 	/** Called when the head of a request has not arrived completely within the header timeout. */
 	readonly onHeaderTimeout: (socket: Socket) => void;
 	/** Called when a connection is not read because its caller does not take the responses to earlier requests, or has too many open requests, for the time between two checks. */
@@ -79,6 +85,8 @@
 	readonly #connections = new Map<Socket, Connection>();
 	readonly #input = RequestInput.create();
 	readonly #interval: NodeJS.Timeout;
+	/** Connections that were closed since the last check because there were too many. */
+	#closedForRoom = 0;
 
 	private constructor(private readonly options: CallerConnectionsOptions) {
 		this.#interval = setInterval(() => {
@@ -92,6 +100,7 @@
 	}
 
 	add(socket: Socket): void {
+		const now = this.options.clock.now();
 		const connection: Connection = {
 			socket,
 			input: this.#input.add(socket, {
@@ -103,7 +112,8 @@
 			requests: new Set(),
 			requestBytes: 0,
 			announcedTimeoutMs: 0,
-			idleSince: this.options.clock.now(),
+			idleSince: now,
+			requestedAt: now,
 			headDueAt: undefined,
 			lastResponse: undefined,
 			isCloseAnnounced: false,
@@ -135,6 +145,9 @@
 				this.#endRequest(connection, request);
 			}
 		});
+		if (this.#connections.size > this.options.maximumConnections) {
+			this.#makeRoom(connection);
+		}
 	}
 
 	/**
@@ -153,6 +166,7 @@
 		connection.requests.add(request);
 		connection.input.begin(response);
 		connection.lastResponse = response;
+		connection.requestedAt = this.options.clock.now();
 		connection.headDueAt = undefined;
 		connection.announcedTimeoutMs = this.options.limits().idleTimeoutMs;
 		message.on('end', () => {
@@ -164,6 +178,11 @@
 		return true;
 	}
 
+	/** Returns the length of the head that was read last on a connection, as it was sent. */
+	headBytes(socket: Socket): number {
+		return this.#connections.get(socket)?.input.headBytes ?? 0;
+	}
+
 	/** Records that the last byte of a response has been written. */
 	recordWritten(response: ServerResponse): void {
 		this.#connections.get(response.req.socket)?.input.recordWritten(response);
@@ -178,11 +197,6 @@
 	get heldCount(): number {
 		return this.#input.held.size;
 	}
-	/** Returns the length of the head that was read last on a connection, as it was sent. */
-	headBytes(socket: Socket): number {
-		return this.#connections.get(socket)?.input.headBytes ?? 0;
-	}
-
 
 	/** Whether no other request has been read on the connection since. */
 	isLastRequest(response: ServerResponse): boolean {
@@ -233,6 +247,36 @@
 		clearInterval(this.#interval);
 	}
 
+	/** Closes the connection that has been waiting for its caller for longest. The newest one is closed only if all others wait for the gateway: none of its requests has been read. */
+	#makeRoom(newest: Connection): void {
+		let openConnections = 0;
+		let idlest: Connection | undefined;
+		let idleSince = Infinity;
+		for (const connection of this.#connections.values()) {
+			if (connection.socket.destroyed) {
+				continue;
+			}
+
+			openConnections++;
+			const since = connection === newest ? Infinity : waitsForCallerSince(connection);
+			if (since < idleSince) {
+				idlest = connection;
+				idleSince = since;
+			}
+		}
+
+		if (openConnections <= this.options.maximumConnections) {
+			return;
+		}
+
+		this.#closedForRoom++;
+		if (idlest?.requests.size === 0) {
+			idlest.socket.destroy();
+		} else {
+			resetConnection((idlest ?? newest).socket);
+		}
+	}
+
 	#endRequest(connection: Connection, request: OpenRequest): void {
 		if (!connection.requests.delete(request)) {
 			return;
@@ -290,6 +334,11 @@
 
 	/** @param now time before which everything that arrived has been read */
 	#check(now: Milliseconds): void {
+		if (this.#closedForRoom > 0) {
+			this.options.onTooMany(this.#closedForRoom);
+			this.#closedForRoom = 0;
+		}
+
 		const {idleTimeoutMs, headerTimeoutMs} = this.options.limits();
 		for (const connection of this.#connections.values()) {
 			this.#checkHeld(connection, now);
@@ -309,6 +358,16 @@
 	}
 }
 
+/** Returns since when a connection has been waiting for a request, the rest of one, or until its responses are taken. Infinite while a request waits for the gateway. */
+function waitsForCallerSince({requests, input, idleSince, requestedAt, lastResponse}: Connection): Milliseconds {
+	if (requests.size === 0) {
+		return idleSince;
+	}
+
+	const awaitsBody = requests.size === 1 && lastResponse?.req.complete === false;
+	return awaitsBody || input.writtenResponses === requests.size ? requestedAt : Infinity;
+}
+
 function hasPartialHead({socket, input, requestBytes}: Connection): boolean {
 	return input.heldBytes > 0 || socket.bytesRead > requestBytes + emptyLineBytes;
 }
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -74,6 +74,10 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly readingProgress: ReadingProgress;
+	/** Connections that may be open. When there are more, the one that has been waiting for its caller for longest is closed. */
+	readonly maximumConnections: number;
+	/** Called with the number of connections that were closed because there were too many. */
+	readonly onTooManyConnections: (closed: number) => void;
 	/** What the heads of all requests may hold. */
 	readonly headMemory: MemoryBudget;
 	/** What the bodies of all requests may hold. */
@@ -111,6 +115,8 @@
 		this.#connections = CallerConnections.create({
 			clock: options.clock,
 			limits: () => this.#limits,
+			maximumConnections: options.maximumConnections,
+			onTooMany: options.onTooManyConnections,
 			onHeaderTimeout: socket => {
 				options.log.event('caller-connection-failed', {reason: 'header timeout'});
 				this.#connections.endAfterResponses(socket, responseWithoutBody('408 Request Timeout'));
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -1,11 +1,13 @@
 import {randomInt} from 'node:crypto';
 import type {Clock, Milliseconds} from '../shared/clock.js';
 import {describeError} from '../shared/describe-error.js';
+import {readDescriptorLimit} from '../shared/descriptor-limit.js';
 import {DisposableStore} from '../shared/disposable-store.js';
 import {explainPath} from '../shared/explanation.js';
 import {MemoryBudget} from '../shared/memory-budget.js';
 import {ReadingProgress} from '../shared/reading-progress.js';
 import {Admission} from './callers/admission.js';
+import {defaultCallerConnections} from './callers/connection-limit.js';
 import {CallerServer, type ReceivedRequest} from './callers/caller-server.js';
 import {CoordinationExchange} from './coordination/coordination-exchange.js';
 import {Explainer} from './explainer.js';
@@ -188,6 +190,11 @@
 			clock,
 			log,
 			readingProgress: this.#readingProgress,
+			maximumConnections: settings.maximumCallerConnections ?? defaultCallerConnections(readDescriptorLimit()),
+			onTooManyConnections: closed => {
+				log.event('caller-connections-closed', {closed, reason: 'too many connections'});
+				this.#metrics.recordClosedCallerConnections(closed);
+			},
 			headMemory: this.#headMemory,
 			requestMemory: this.#requestMemory,
 			responseMemory: this.#responseMemory,
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -93,6 +93,10 @@
 		name: 'jackdawfork_sent_to_peers_bytes_total', help: 'Bytes of the datagrams sent to other instances: heartbeats, summaries, reports and permits', registers: [this.#registry],
 	});
 
+	readonly #closedCallerConnections = new Counter({
+		name: 'jackdawfork_closed_caller_connections_total', help: 'Connections of callers that were closed because there were too many', registers: [this.#registry],
+	});
+
 	readonly #invalidStates = new Counter({
 		name: 'jackdawfork_invalid_request_states_total', help: 'Requests that were neither waiting nor in an attempt, or both', registers: [this.#registry],
 	});
@@ -224,6 +228,10 @@
 		this.#sentToPeers.inc(bytes);
 	}
 
+	recordClosedCallerConnections(count: number): void {
+		this.#closedCallerConnections.inc(count);
+	}
+
 	/** @param group service and availability zone */
 	recordSlotGrant(group: string, waitedMs: Milliseconds): void {
 		this.#slotGrants.inc({group});
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -41,6 +41,8 @@
 	readonly readinessAddress: SocketAddress;
 	readonly storeAddress: SocketAddress;
 	readonly bounds: Bounds;
+	/** Connections that callers may open. Default: three quarters of the descriptors, 3,072 at most. */
+	readonly maximumCallerConnections?: number;
 	/** Optional parts of the scheduling; none of them acts without it. */
 	readonly scheduling?: SchedulingSettings;
 };
