--- a/src/gateway/observability/monitoring-server.ts
+++ b/src/gateway/observability/monitoring-server.ts
@@ -29,6 +29,9 @@
 	openRequests: 8, writtenResponses: 2, pipelinedRequests: 64, pipelinedBytes: 1_048_576, heldBytes: 4_194_304,
 };
 
+/** Connections to a port. When there are more, the one that has been idle for longest is closed. */
+const maximumConnections = 64;
+
 /** What the responses that callers have not taken may hold, in bytes. Metrics have some 10,000. */
 const maximumResponseBytes = 4_194_304;
 
@@ -49,7 +52,8 @@
 
 	readonly #server: Server;
 	readonly #input = RequestInput.create(inputLimits);
-	readonly #connections = new WeakMap<Socket, Connection>();
+	/** Those without a request for longest first. */
+	readonly #connections = new Map<Socket, Connection>();
 	readonly #responseMemory = MemoryBudget.create(maximumResponseBytes);
 
 	private constructor(private readonly address: SocketAddress, private readonly log: EventLog, private readonly handlers: MonitoringHandlers, private readonly queryPaths: ReadonlySet<string>) {
@@ -64,8 +68,10 @@
 				},
 			});
 			this.#connections.set(socket, {input, accounts});
+			this.#closeIdlest();
 			// The response to a request that waits for the one before it has no connection yet, so it does not close.
 			socket.once('close', () => {
+				this.#connections.delete(socket);
 				for (const account of accounts) {
 					account.close();
 				}
@@ -90,12 +96,27 @@
 
 	async #respond(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {socket} = request;
-		const {input, accounts} = this.#connections.get(socket)!;
+		const connection = this.#connections.get(socket);
+		if (connection === undefined) {
+			return;
+		}
+
+		const {input, accounts} = connection;
+		this.#connections.delete(socket);
+		this.#connections.set(socket, connection);
 		const memory = this.#responseMemory.openAccount(() => {
 			this.#reset(socket);
 		});
 		accounts.add(memory);
 		input.begin(response);
+		const hasBody = request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0;
+		request.rawHeaders = [];
+		request.headers = {};
+		if (hasBody) {
+			response.setHeader('connection', 'close');
+			input.discard();
+		}
+
 		response.on('close', () => {
 			accounts.delete(memory);
 			memory.close();
@@ -115,6 +136,16 @@
 		input.recordWritten(response);
 	}
 
+	/** Connections whose requests have been answered go first. */
+	#closeIdlest(): void {
+		const open = [...this.#connections].filter(([socket]) => !socket.destroyed);
+		if (open.length > maximumConnections) {
+			const [idlest] = open.find(([, {accounts}]) => accounts.size === 0) ?? open[0]!;
+			this.#reportReset('too many connections');
+			resetConnection(idlest);
+		}
+	}
+
 	#reset(socket: Socket): void {
 		if (!socket.destroyed) {
 			this.#reportReset('responses not taken');
