--- a/src/shared/request-framer.ts
+++ b/src/shared/request-framer.ts
@@ -12,7 +12,7 @@
 	readonly kind: (typeof pieceKinds)[keyof typeof pieceKinds];
 	/** Number of bytes, from the start of what was given. */
 	readonly length: number;
-	/** Lines of a head, without the empty one. */
+	/** Lines of a head or of trailers, without the empty one. */
 	readonly lines: number;
 };
 
--- a/src/shared/request-input.ts
+++ b/src/shared/request-input.ts
@@ -5,11 +5,11 @@
 import {pieceKinds, RequestFramer, type Piece} from './request-framer.js';
 import {resetConnection} from './reset-connection.js';
 
-/** Requests that arrived together, and what their heads cost, after which a connection lets others go first. Their responses are created after them. */
+/** Requests that arrived together, and what their heads and trailers cost, after which a connection lets others go first. Their responses are created after them. */
 const requestsPerTurn = 64;
 const costPerTurn = 65_536;
 
-/** What heads may cost in a round of the event loop before connections with a head above `ordinaryCost` wait for their turn. */
+/** What heads and trailers may cost in a round of the event loop before connections with a head above `ordinaryCost` wait for their turn. */
 const costPerRound = 262_144;
 const ordinaryCost = 16_384;
 
@@ -68,7 +68,7 @@
 	#isTurnAwaited = false;
 	#pipelinedRequests = 0;
 	#pipelinedBytes = 0;
-	/** What the heads of the current round of the event loop cost. */
+	/** What heads and trailers cost in the current round of the event loop. */
 	#costInRound = 0;
 
 	private constructor(readonly limits: RequestInputLimits) {
@@ -98,7 +98,8 @@
 		return cost <= ordinaryCost || this.#costInRound + cost <= costPerRound;
 	}
 
-	recordHead(cost: number): void {
+	/** Records that a head or trailers are parsed. */
+	recordCost(cost: number): void {
 		if (this.#costInRound === 0) {
 			setImmediate(() => {
 				this.#costInRound = 0;
@@ -190,7 +191,7 @@
 	#start = 0;
 	#end = 0;
 	#head: Piece | undefined;
-	/** Requests since the connection was last empty, or had its last turn, and what their heads cost. */
+	/** Requests since the connection was last empty, or had its last turn, and what their heads and trailers cost. */
 	#requestsInTurn = 0;
 	#costInTurn = 0;
 	#isTurnAwaited = false;
@@ -368,16 +369,17 @@
 	#parsePiece(piece: Piece): void {
 		const bytes = this.#buffer.subarray(this.#start, this.#start + piece.length);
 		this.#start += piece.length;
-		if (piece.kind !== pieceKinds.head) {
-			this.#parse.call(this.socket, bytes);
-			return;
+		if (piece.kind === pieceKinds.head) {
+			this.#head = piece;
+			this.#hasTurn = false;
+			this.#requestsInTurn++;
+		}
+
+		if (piece.lines > 0) {
+			this.#costInTurn += costOf(piece);
+			this.input.recordCost(costOf(piece));
 		}
 
-		this.#head = piece;
-		this.#hasTurn = false;
-		this.#requestsInTurn++;
-		this.#costInTurn += costOf(piece);
-		this.input.recordHead(costOf(piece));
 		this.#parse.call(this.socket, bytes);
 		if (this.#requestsInTurn >= requestsPerTurn || this.#costInTurn >= costPerTurn) {
 			this.#awaitTurn();
@@ -471,7 +473,7 @@
 	}
 }
 
-/** What it takes to parse a head, in bytes. */
+/** What it takes to parse a head or trailers, in bytes. */
 function costOf({length, lines}: Piece): number {
 	return length + (lines * costPerLine);
 }
