--- a/src/gateway/observability/monitoring-server.ts
+++ b/src/gateway/observability/monitoring-server.ts
@@ -26,14 +26,14 @@
 
 /** Load balancers and collectors of metrics wait for a response before their next request. */
 const inputLimits: RequestInputLimits = {
-	openRequests: 8, writtenResponses: 2, pipelinedRequests: 64, pipelinedBytes: 1_048_576, heldBytes: 4_194_304,
+	openRequests: 8, writtenResponses: 2, pipelinedRequests: 64, pipelinedBytes: 1_048_576, heldBytes: 1_048_576,
 };
 
 /** Connections to a port. When there are more, the one that has been idle for longest is closed. */
 const maximumConnections = 64;
 
 /** What the responses that callers have not taken may hold, in bytes. Metrics have some 10,000. */
-const maximumResponseBytes = 4_194_304;
+const maximumResponseBytes = 1_048_576;
 
 type Connection = {
 	readonly input: ConnectionInput;
--- a/src/shared/request-input.ts
+++ b/src/shared/request-input.ts
@@ -16,8 +16,8 @@
 /** Processor time and memory that a header line takes while its head is parsed, in bytes that take as much. */
 const costPerLine = 64;
 
-/** What a request behind an open one holds beside its head, in bytes. */
-const requestBytes = 1024;
+/** What a request that waits holds beside its head, in bytes. */
+const requestBytes = 16_384;
 
 /** What may have arrived on a connection after it was paused: Node.js pauses the reading with its next chunk. */
 const readAheadBytes = 65_536;
@@ -45,7 +45,7 @@
 
 /** No caller that waits for a response before its next request has more than one open request. */
 export const defaultRequestInputLimits: RequestInputLimits = {
-	openRequests: 512, writtenResponses: 64, pipelinedRequests: 2048, pipelinedBytes: 4_194_304, heldBytes: 8_388_608,
+	openRequests: 8, writtenResponses: 8, pipelinedRequests: 64, pipelinedBytes: 4_194_304, heldBytes: 8_388_608,
 };
 
 export type ConnectionInputOptions = {
