--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -30,7 +30,7 @@
 const isolatedFiles = 'dist/test/gateway/{endless-bytes,misbehaving-callers,unread-responses}.test.js';
 
 const patterns = process.argv.slice(2);
-const runs = patterns.length > 0 ? [patterns] : [[`!${isolatedFiles}`], [isolatedFiles, '--serial', '--concurrency', '1']];
+const runs = patterns.length > 0 ? [patterns] : [['dist/test/**/*.test.js', `!${isolatedFiles}`], [isolatedFiles, '--serial', '--concurrency', '1']];
 const knownFailures = readKnownFailures();
 const counts = {passed: 0, failed: 0, known: 0};
 
