--- a/test/gateway/callers/shared-memory.test.ts
+++ b/test/gateway/callers/shared-memory.test.ts
@@ -101,3 +101,39 @@
 	await until(() => slow.every(caller => isWhole(caller) || caller.isEnded));
 	t.is(slow.filter(caller => isWhole(caller)).length, 1);
 });
+
+/** Takes 41 kB with what is decoded of it. */
+const largeHead = `GET /${'x'.repeat(20_000)} HTTP/1.1\r\nhost: office.example\r\n\r\n`;
+const smallHeads = 15;
+
+function refuseWhenMemoryIsNeeded(request: ReceivedRequest): void {
+	request.onMemoryExceeded(() => {
+		request.response.fail({type: 'memoryExhausted', retryAfterMs: 1000});
+	});
+}
+
+// Guards against heads that use up the memory although each request is alone on its connection.
+for (const isSent of [false, true]) {
+	test(`of requests whose heads are too large together ${isSent ? 'the one that is being sent stays' : 'the largest that waits is refused'}`, async t => {
+		const received: ReceivedRequest[] = [];
+		const {address} = await startCallerServer(t, {headerBytes: 30_000}, request => {
+			received.push(request);
+			refuseWhenMemoryIsNeeded(request);
+			if (isSent) {
+				request.keepInMemory();
+			}
+		}, {memoryBytes: 55_000});
+		const large = await RawCaller.connect(address);
+		large.write(largeHead);
+		await until(() => received.length === 1);
+		const small = await Promise.all(Array.from({length: smallHeads}, async () => {
+			const caller = await RawCaller.connect(address);
+			caller.write('GET / HTTP/1.1\r\nhost: office.example\r\n\r\n');
+			return caller;
+		}));
+		await until(() => [large, ...small].some(({text}) => text.includes('memoryExhausted')));
+		t.is(large.text.includes('memoryExhausted'), !isSent);
+		await until(() => isSent || received.length === smallHeads + 1);
+		t.is(small.some(({text}) => text.includes('memoryExhausted')), isSent);
+	});
+}
