--- a/src/gateway/callers/connection-limit.ts
+++ b/src/gateway/callers/connection-limit.ts
@@ -1,4 +1,7 @@
-/** Fraction of the descriptors that connections of callers may use. Endpoints, other instances, the store, monitoring and files need the others. */
+/** Descriptors that monitoring connections, sockets that listen and files need. */
+const reservedDescriptors = 200;
+
+/** Fraction of the others that connections of callers may use. Endpoints, other instances and the store need the rest. */
 const callerFraction = 0.75;
 
 /** Descriptors that are counted at most: connections cost memory, too. */
@@ -10,5 +13,5 @@
 @param descriptors what the operating system lets this process open
 */
 export function defaultCallerConnections(descriptors = maximumDescriptors): number {
-	return Math.floor(callerFraction * Math.min(descriptors, maximumDescriptors));
+	return Math.max(1, Math.floor(callerFraction * (Math.min(descriptors, maximumDescriptors) - reservedDescriptors)));
 }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -41,7 +41,7 @@
 	readonly readinessAddress: SocketAddress;
 	readonly storeAddress: SocketAddress;
 	readonly bounds: Bounds;
-	/** Connections that callers may open. Default: three quarters of the descriptors, 3,072 at most. */
+	/** Connections that callers may open. Default: three quarters of the descriptors beyond 200, 2,922 at most. */
 	readonly maximumCallerConnections?: number;
 	/** Optional parts of the scheduling; none of them acts without it. */
 	readonly scheduling?: SchedulingSettings;
--- a/test/gateway/misbehaving-callers.test.ts
+++ b/test/gateway/misbehaving-callers.test.ts
@@ -227,6 +227,16 @@
 		repeats: 0,
 		mayReconnect: true,
 	},
+	{
+		what: 'connections to all ports, more than there are descriptors',
+		connections: 700,
+		text: '',
+		repeats: 0,
+		mayReconnect: true,
+		others: [readyPort, metricsPort].map(port => ({
+			port, connections: 300, text: '', repeats: 0, mayReconnect: true,
+		})),
+	},
 ];
 
 /** Sends a request as ordinary callers do, which come back after a refusal. */
