--- a/src/gateway/callers/caller-connections.ts
+++ b/src/gateway/callers/caller-connections.ts
@@ -66,6 +66,8 @@
 	readonly onTooMany: (closed: number) => void;
 	/** Called when the head of a request has not arrived completely within the header timeout. */
 	readonly onHeaderTimeout: (socket: Socket) => void;
+	/** Called when the head of a request, or its trailers, are longer than any limit. */
+	readonly onHeadTooLong: (socket: Socket) => void;
 	/** Called when a connection is not read because its caller does not take the responses to earlier requests, or has too many open requests, for the time between two checks. */
 	readonly onHeld: (state: {readonly openRequests: number; readonly writtenResponses: number; readonly heldBytes: number}) => void;
 	/** Called when a connection is reset because of what has been sent ahead on it. */
@@ -105,6 +107,9 @@
 			socket,
 			input: this.#input.add(socket, {
 				isDiscarded: () => (connection.isEnding || connection.isCloseAnnounced) && connection.lastResponse?.req.complete !== false,
+				onHeadTooLong: () => {
+					this.options.onHeadTooLong(socket);
+				},
 				onExceeded: () => {
 					this.options.onReset('too much sent ahead');
 				},
--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -121,6 +121,10 @@
 				options.log.event('caller-connection-failed', {reason: 'header timeout'});
 				this.#connections.endAfterResponses(socket, responseWithoutBody('408 Request Timeout'));
 			},
+			onHeadTooLong: socket => {
+				options.log.event('caller-connection-failed', {reason: 'head too long'});
+				this.#refuseUnparsed(socket, '431 Request Header Fields Too Large');
+			},
 			onHeld({openRequests, writtenResponses, heldBytes}) {
 				options.log.event('caller-connection-held', {openRequests, writtenResponses, heldBytes});
 			},
@@ -229,11 +233,18 @@
 
 		// The parser accepts nothing more.
 		this.#connections.discardInput(socket);
-		const lastRequest = this.#lastRequests.get(socket);
 		if (code === 'ECONNRESET') {
 			socket.destroy();
-		} else if (lastRequest === undefined || lastRequest.message.complete) {
-			this.#connections.endAfterResponses(socket, responseWithoutBody(code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'));
+		} else {
+			this.#refuseUnparsed(socket, code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request');
+		}
+	}
+
+	/** Ends a connection on which something can't be parsed. A request that is being read is refused, else the status is written after the responses to those before. */
+	#refuseUnparsed(socket: Socket, status: string): void {
+		const lastRequest = this.#lastRequests.get(socket);
+		if (lastRequest === undefined || lastRequest.message.complete) {
+			this.#connections.endAfterResponses(socket, responseWithoutBody(status));
 		} else {
 			lastRequest.fail('malformedRequest');
 		}
@@ -286,12 +297,9 @@
 		const waitingSince = readingProgress.isLate() ? arrivedAt - readingProgress.unreadMs() : arrivedAt;
 		// They stay the same while the request is read.
 		const limits = this.#limits;
-		const hasHost = message.headers.host !== undefined;
-		const metadata = this.options.decodeHeaders(message.headers);
-		const headers = PackedHeaders.create(message.rawHeaders);
-		message.rawHeaders = [];
-		message.headers = {};
-		const heldHeadBytes = headCopies * this.#connections.headBytes(socket);
+		const headBytes = this.#connections.headBytes(socket);
+		const {hasHost, metadata, headers} = this.#takeHead(message);
+		// Replaced when the request is handed over.
 		let refuse = () => {
 			fail('memoryExhausted');
 		};
@@ -312,7 +320,7 @@
 				this.#connections.announceClose(response);
 			},
 			onWritten: () => {
-				headMemory.release(heldHeadBytes - message.url!.length);
+				headMemory.release((headCopies * headBytes) - message.url!.length);
 				headMemory.unpin();
 				this.#connections.recordWritten(response);
 			},
@@ -357,13 +365,13 @@
 				}
 			}
 		});
-		if (this.#connections.headBytes(socket) > limits.headerBytes) {
+		if (headBytes > limits.headerBytes) {
 			fail('headersTooLarge');
 		} else if (message.httpVersion === '1.1' && !hasHost) {
 			fail('malformedRequest');
 		} else {
 			try {
-				headMemory.reserve(heldHeadBytes + requestBytes);
+				headMemory.reserve((headCopies * headBytes) + requestBytes);
 			} catch {
 				fail('memoryExhausted');
 			}
@@ -408,6 +416,18 @@
 		});
 	}
 
+	/** Returns what is needed of a head, and drops its header fields, which may take ten times their bytes. */
+	#takeHead(message: IncomingMessage): {readonly hasHost: boolean; readonly metadata: CallerRequestMetadata; readonly headers: PackedHeaders} {
+		const head = {
+			hasHost: message.headers.host !== undefined,
+			metadata: this.options.decodeHeaders(message.headers),
+			headers: PackedHeaders.create(message.rawHeaders),
+		};
+		message.rawHeaders = [];
+		message.headers = {};
+		return head;
+	}
+
 	/** Calls back for a request that has been read, unless its caller has left. The disconnect of a caller is read after its request. */
 	#whenCallerIsPresent(socket: Socket, callback: () => void): void {
 		const {readingProgress, log} = this.options;
--- a/src/gateway/observability/monitoring-server.ts
+++ b/src/gateway/observability/monitoring-server.ts
@@ -63,6 +63,9 @@
 		this.#server.on('connection', (socket: Socket) => {
 			const accounts = new Set<MemoryAccount>();
 			const input = this.#input.add(socket, {
+				onHeadTooLong: () => {
+					this.#reset(socket, 'head too long');
+				},
 				onExceeded: () => {
 					this.#reportReset('too much sent ahead');
 				},
@@ -146,9 +149,9 @@
 		}
 	}
 
-	#reset(socket: Socket): void {
+	#reset(socket: Socket, reason = 'responses not taken'): void {
 		if (!socket.destroyed) {
-			this.#reportReset('responses not taken');
+			this.#reportReset(reason);
 			resetConnection(socket);
 		}
 	}
--- a/src/shared/request-input.ts
+++ b/src/shared/request-input.ts
@@ -13,7 +13,7 @@
 const costPerRound = 262_144;
 const ordinaryCost = 16_384;
 
-/** Processor time and memory that a header line takes while its head is parsed, in bytes that take as much. */
+/** What a line of a head costs to parse, as a number of bytes that cost as much. */
 const costPerLine = 64;
 
 /** What a request that waits holds beside its head, in bytes. */
@@ -22,7 +22,7 @@
 /** What may have arrived on a connection after it was paused: Node.js pauses the reading with its next chunk. */
 const readAheadBytes = 65_536;
 
-/** Length of an incomplete head above which it is given to the parser, which refuses it. */
+/** Length of a head, or of trailers, above which they are refused. The parser counts neither separators nor line ends, and keeps each line. */
 const maximumHeadBytes = 65_536;
 
 const noBytes = new Uint8Array(0);
@@ -51,6 +51,8 @@
 export type ConnectionInputOptions = {
 	/** Whether what arrives is no longer of interest. */
 	readonly isDiscarded?: () => boolean;
+	/** Called when a head, or trailers, are too long. Nothing more is read. */
+	readonly onHeadTooLong: () => void;
 	/** Called when the connection holds more than others while all of them hold too much. It is reset then. */
 	readonly onExceeded: () => void;
 };
@@ -63,7 +65,7 @@
 
 	readonly #heldMemory: MemoryBudget;
 	readonly #held = new Set<ConnectionInput>();
-	/** Connections with more than `requestsPerTurn` requests. One of them goes on in a round of the event loop. */
+	/** Connections that wait for their turn. One of them goes on in a round of the event loop. */
 	readonly #waiting = new Set<ConnectionInput>();
 	#isTurnAwaited = false;
 	#pipelinedRequests = 0;
@@ -195,7 +197,7 @@
 	#requestsInTurn = 0;
 	#costInTurn = 0;
 	#isTurnAwaited = false;
-	/** Whether the connection had to wait for its turn before the next head. */
+	/** Whether the connection has waited for its turn, so that the next head is parsed whatever others cost in this round. */
 	#hasTurn = false;
 	/** Whether something complete waits to be parsed. */
 	#isBlocked = false;
@@ -326,7 +328,7 @@
 
 		this.#shrinkBuffer();
 		// A caller that waits for its only response is not held: it has sent nothing ahead.
-		const isHeld = this.#isBlocked || (this.#open.size > 1 && !this.#mayRead());
+		const isHeld = this.#isBlocked || ((this.#open.size > 1 || this.#isInputDiscarded()) && !this.#mayRead());
 		if (isHeld && !this.socket.isPaused()) {
 			this.#isPaused = true;
 			this.socket.pause();
@@ -342,8 +344,8 @@
 
 	#parseHeld(): void {
 		while (this.heldBytes > 0 && !this.socket.destroyed) {
-			if (this.#isDiscarded || this.options.isDiscarded?.() === true) {
-				this.#clear();
+			if (this.#isInputDiscarded()) {
+				this.#dropHeld();
 				return;
 			}
 
@@ -353,12 +355,18 @@
 			}
 
 			const piece = this.#framer.next(this.#buffer.subarray(this.#start, this.#end));
-			if (piece.kind === pieceKinds.head && !this.#mayParseHead(piece)) {
-				this.#isBlocked = true;
+			if (isHeadTooLong(piece)) {
+				this.discard();
+				this.options.onHeadTooLong();
+				return;
+			}
+
+			if (piece.kind === pieceKinds.incomplete) {
 				return;
 			}
 
-			if (piece.kind === pieceKinds.incomplete && piece.length <= maximumHeadBytes) {
+			if (piece.kind === pieceKinds.head && !this.#mayParseHead(piece)) {
+				this.#isBlocked = true;
 				return;
 			}
 
@@ -366,6 +374,19 @@
 		}
 	}
 
+	#isInputDiscarded(): boolean {
+		return this.#isDiscarded || this.options.isDiscarded?.() === true;
+	}
+
+	/** Each reading takes a buffer that stays until a garbage collection, so those of discarded input take turns, too. */
+	#dropHeld(): void {
+		this.#costInTurn += this.heldBytes;
+		this.#clear();
+		if (this.#costInTurn >= costPerTurn) {
+			this.#awaitTurn();
+		}
+	}
+
 	#parsePiece(piece: Piece): void {
 		const bytes = this.#buffer.subarray(this.#start, this.#start + piece.length);
 		this.#start += piece.length;
@@ -386,7 +407,7 @@
 		}
 	}
 
-	/** Whether no other connection goes first. */
+	/** Whether no other connection goes first. If one does, this one waits for its turn. */
 	#mayParseHead(head: Piece): boolean {
 		if (this.#hasTurn || this.input.hasRoomInRound(costOf(head))) {
 			return true;
@@ -409,11 +430,7 @@
 	/** Whether the responses to earlier requests are being taken, and no other connection goes first. */
 	#mayRead(): boolean {
 		const {openRequests, writtenResponses} = this.input.limits;
-		if (this.#isDiscarded) {
-			return true;
-		}
-
-		return !this.#isTurnAwaited && (this.#awaitsFirstBody() || (this.#open.size < openRequests && this.#written.size < writtenResponses && !this.input.isFull));
+		return !this.#isTurnAwaited && (this.#isInputDiscarded() || this.#awaitsFirstBody() || (this.#open.size < openRequests && this.#written.size < writtenResponses && !this.input.isFull));
 	}
 
 	/** Whether what arrives belongs to no request behind an open one. The requests of other connections must not delay it. */
@@ -473,6 +490,11 @@
 	}
 }
 
+/** Only heads and trailers have lines, or are incomplete. */
+function isHeadTooLong({kind, lines, length}: Piece): boolean {
+	return (kind === pieceKinds.incomplete || lines > 0) && length > maximumHeadBytes;
+}
+
 /** What it takes to parse a head or trailers, in bytes. */
 function costOf({length, lines}: Piece): number {
 	return length + (lines * costPerLine);
--- a/test/gateway/misbehaving-callers.test.ts
+++ b/test/gateway/misbehaving-callers.test.ts
@@ -119,6 +119,28 @@
 		text: `GET /lookups/1 HTTP/1.1\r\n${usual}${shortLine.repeat(3000)}`,
 		repeats: 1,
 	},
+	{
+		what: 'short lines of heads without end',
+		connections,
+		first: `GET /lookups/1 HTTP/1.1\r\n${usual}`,
+		text: shortLine,
+		repeats: 1_000_000,
+	},
+	{
+		what: 'short lines of trailers without end',
+		connections,
+		first: `POST /bookings/1 HTTP/1.1\r\n${usual}Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n`,
+		text: shortLine,
+		repeats: 1_000_000,
+	},
+	{
+		what: 'short lines of heads without end to the ready path',
+		port: readyPort,
+		connections,
+		first: `GET /api/ready HTTP/1.1\r\n${host}`,
+		text: shortLine,
+		repeats: 1_000_000,
+	},
 	{
 		what: 'heads that arrive in single bytes',
 		connections,
