--- a/src/gateway/callers/connection-limit.ts
+++ b/src/gateway/callers/connection-limit.ts
@@ -7,11 +7,15 @@
 /** Descriptors that are counted at most: connections cost memory, too. */
 const maximumDescriptors = 4096;
 
+/** Limit of descriptors up to which it is ignored: a platform may state one for files alone, with which no gateway could serve. */
+const minimumDescriptors = 2 * reservedDescriptors;
+
 /**
 Returns the number of connections that callers may open.
 
 @param descriptors what the operating system lets this process open
 */
 export function defaultCallerConnections(descriptors = maximumDescriptors): number {
-	return Math.max(1, Math.floor(callerFraction * (Math.min(descriptors, maximumDescriptors) - reservedDescriptors)));
+	const counted = descriptors > minimumDescriptors ? Math.min(descriptors, maximumDescriptors) : maximumDescriptors;
+	return Math.floor(callerFraction * (counted - reservedDescriptors));
 }
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -96,6 +96,7 @@
 	readonly #admission: Admission;
 	readonly #explainer: Explainer;
 	readonly #callerServer: CallerServer;
+	readonly #maximumCallerConnections: number;
 	readonly #headMemory = MemoryBudget.create(maximumHeadBytes);
 	readonly #requestMemory = MemoryBudget.create(maximumRequestBytes);
 	readonly #responseMemory = MemoryBudget.create(maximumResponseBytes);
@@ -185,12 +186,13 @@
 			withhold: parts => this.#containment.withhold(parts),
 			random: Math.random,
 		});
+		this.#maximumCallerConnections = settings.maximumCallerConnections ?? defaultCallerConnections(readDescriptorLimit());
 		this.#callerServer = CallerServer.create({
 			address: settings.callerAddress,
 			clock,
 			log,
 			readingProgress: this.#readingProgress,
-			maximumConnections: settings.maximumCallerConnections ?? defaultCallerConnections(readDescriptorLimit()),
+			maximumConnections: this.#maximumCallerConnections,
 			onTooManyConnections: closed => {
 				log.event('caller-connections-closed', {closed, reason: 'too many connections'});
 				this.#metrics.recordClosedCallerConnections(closed);
@@ -289,7 +291,7 @@
 	async start(): Promise<void> {
 		const {settings, protocol, log, clock} = this.options;
 		log.event('started', {
-			instance: settings.instanceName, host: settings.host, availabilityZone: settings.availabilityZone, isFirstStart: settings.isFirstStart, seeds: settings.seedHosts.join(','),
+			instance: settings.instanceName, host: settings.host, availabilityZone: settings.availabilityZone, isFirstStart: settings.isFirstStart, seeds: settings.seedHosts.join(','), maximumCallerConnections: this.#maximumCallerConnections,
 		});
 		await this.#confirmations.start();
 		this.#disposables.add(this.#confirmations);
