--- a/src/gateway/callers/caller-server.ts
+++ b/src/gateway/callers/caller-server.ts
@@ -15,6 +15,7 @@
 import type {CallerLimits} from '../site/types.js';
 import {CallerConnections} from './caller-connections.js';
 import {ChunkPacer} from './chunk-pacer.js';
+import {memoryRetryAfterMs} from './failures.js';
 import {HttpResponse} from './http-response.js';
 import {PackedHeaders} from './packed-headers.js';
 import type {CallerRequestMetadata} from './types.js';
@@ -39,9 +40,6 @@
 /** Copies of a head that an open request holds: its fields, and what was read from them. */
 const headCopies = 2;
 
-/** Time after which a caller may retry whose request found no memory: requests are passed on, or time out, within a second or two. */
-const memoryRetryAfterMs: Milliseconds = 1000;
-
 /** The last response on a connection, to what is not a complete request. */
 function responseWithoutBody(status: string): string {
 	return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
@@ -305,7 +303,12 @@
 		};
 
 		const headMemory = this.options.headMemory.openAccount(() => {
-			refuse();
+			if (response.headersSent) {
+				// The caller does not take a response that has been written.
+				callerResponse.destroy();
+			} else {
+				refuse();
+			}
 		});
 		const requestMemory = this.options.requestMemory.openAccount(() => {
 			fail('memoryExhausted');
--- a/src/gateway/callers/failures.ts
+++ b/src/gateway/callers/failures.ts
@@ -1,5 +1,8 @@
 import type {Milliseconds} from '../../shared/clock.js';
 
+/** Time after which a caller may retry whose request found no memory: requests are passed on, or time out, within a second or two. */
+export const memoryRetryAfterMs: Milliseconds = 1000;
+
 /** The failures that the gateway itself responds with. The statuses 408, 421, 429 and 503 guarantee that the request has not run and never will. */
 export const gatewayFailures = {
 	malformedRequest: {status: 400, title: 'The request is malformed'},
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {describeError, toError} from '../../shared/describe-error.js';
 import type {Explanation} from '../../shared/explanation.js';
-import type {GatewayFailure} from '../callers/failures.js';
+import {memoryRetryAfterMs, type GatewayFailure} from '../callers/failures.js';
 import {attemptOutcomes, isNotRun, type AttemptOutcome} from '../scheduling/endpoint-load.js';
 import {maximumWaitMs, streamTimeoutMs} from '../scheduling/maximum-wait.js';
 import {refusalReasons, type Refusal, type WaitingRequest} from '../scheduling/types.js';
@@ -35,9 +35,6 @@
 /** Time after which a caller may retry whose request was not sent because the site state had become too old. */
 const staleRetryAfterMs: Milliseconds = 300;
 
-/** Time after which a caller may retry whose request was refused in favour of others. */
-const memoryRetryAfterMs: Milliseconds = 1000;
-
 /** Parts of a prompt that a log line names. */
 const maximumLoggedParts = 8;
 
--- a/test/gateway/callers/shared-memory.test.ts
+++ b/test/gateway/callers/shared-memory.test.ts
@@ -137,3 +137,25 @@
 		t.is(small.some(({text}) => text.includes('memoryExhausted')), isSent);
 	});
 }
+
+// Guards against an error in the refusal of one request that refuses another one.
+test('a refusal that waits behind an open request gives way to other heads by the end of its connection', async t => {
+	const received: ReceivedRequest[] = [];
+	const {address} = await startCallerServer(t, {headerBytes: 30_000}, request => {
+		received.push(request);
+		if (request.message.url!.length > 1) {
+			request.response.fail({type: 'unknownRoute'});
+		}
+	}, {memoryBytes: 55_000});
+	const pipelining = await RawCaller.connect(address);
+	pipelining.write(`GET / HTTP/1.1\r\nhost: office.example\r\n\r\n${largeHead}`);
+	await until(() => received.length === 2);
+	const small = await Promise.all(Array.from({length: 2 * smallHeads}, async () => {
+		const caller = await RawCaller.connect(address);
+		caller.write('GET / HTTP/1.1\r\nhost: office.example\r\n\r\n');
+		return caller;
+	}));
+	await until(() => received.length === 2 + small.length || small.some(({text}) => text !== ''));
+	t.deepEqual(small.map(({text}) => text).filter(text => text !== ''), []);
+	await pipelining.waitForEnd();
+});
--- a/test/gateway/misbehaving-callers.test.ts
+++ b/test/gateway/misbehaving-callers.test.ts
@@ -50,6 +50,7 @@
 
 /** Four bytes, of which a head within the header limit has some 4,000. */
 const shortLine = 'a:\r\n';
+
 /** Header limit of the site. */
 const headerLimitBytes = 16_384;
 
