--- a/src/gateway/callers/admission.ts
+++ b/src/gateway/callers/admission.ts
@@ -2,7 +2,7 @@
 import type {WorkspaceQuotas} from '../limits/workspace-quotas.js';
 import {partKeysOf} from '../quarantine/part-keys.js';
 import type {Freshness} from '../site/freshness.js';
-import {chooseTarget} from '../site/route-table.js';
+import {chooseTarget, type RouteTable} from '../site/route-table.js';
 import type {SiteState} from '../site/site-state.js';
 import {quotaUnits, type Route, type Workspace} from '../site/types.js';
 import type {GatewayFailure} from './failures.js';
@@ -59,6 +59,16 @@
 	return {kind: 'rejected', failure, route};
 }
 
+/** Whether a caller sent a key that no workspace holds. It is refused on every route: served as a request without a key, it would run although its key was taken away. */
+function isKeyUnknown(routes: RouteTable, key: string | undefined, workspace: Workspace | undefined): boolean {
+	return key !== undefined && workspace === undefined && routes.hasKeys;
+}
+
+/** Whether a request that belongs to no workspace is on a route that serves workspaces only. */
+function isKeyMissing(routes: RouteTable, route: Route, workspace: Workspace | undefined): boolean {
+	return workspace === undefined && routes.hasWorkspaces && !route.allowsAnonymous;
+}
+
 /** Decides whether a request may be queued, by its route, its key, the age of the configuration, and the quota of its workspace. */
 export class Admission {
 	static create(options: AdmissionOptions): Admission {
@@ -90,7 +100,7 @@
 		}
 
 		const workspace = metadata.key === undefined ? undefined : routes.findWorkspaceByKey(metadata.key);
-		if (this.#isKeyMissing(route, workspace)) {
+		if (isKeyUnknown(routes, metadata.key, workspace) || isKeyMissing(routes, route, workspace)) {
 			return rejected({type: 'unknownKey'}, route);
 		}
 
@@ -115,13 +125,13 @@
 	@param arrivedAt as for `decide`
 	*/
 	preview({route, workspace, tokens}: PreviewedRequest, arrivedAt: Milliseconds): GatewayFailure | undefined {
-		const {quotas, clock} = this.options;
+		const {site: {routes}, quotas, clock} = this.options;
 		const stale = this.#findStale(arrivedAt);
 		if (stale !== undefined) {
 			return stale;
 		}
 
-		if (this.#isKeyMissing(route, workspace)) {
+		if (routes !== undefined && isKeyMissing(routes, route, workspace)) {
 			return {type: 'unknownKey'};
 		}
 
@@ -134,10 +144,6 @@
 		return freshness.allowsForwarding(arrivedAt, site.confirmedAt) ? undefined : {type: 'stale', retryAfterMs: staleRetryAfterMs};
 	}
 
-	#isKeyMissing(route: Route, workspace: Workspace | undefined): boolean {
-		return workspace === undefined && this.options.site.routes?.hasWorkspaces === true && !route.allowsAnonymous;
-	}
-
 	#quotaFailure(waitMs: Milliseconds): GatewayFailure {
 		return {type: 'quotaExceeded', retryAfterMs: Math.max(waitMs, minimumQuotaRetryAfterMs)};
 	}
--- a/src/gateway/callers/types.ts
+++ b/src/gateway/callers/types.ts
@@ -7,6 +7,7 @@
 	readonly host: string;
 	/** Time for which the caller will wait, from the arrival of the request. */
 	readonly remainingMs?: Milliseconds;
+	/** Undefined when the caller sent none; empty when its credentials lack it. */
 	readonly key?: string;
 	/** Prompt tokens and maximum output tokens. */
 	readonly tokens?: {readonly prompt: number; readonly output: number};
--- a/src/gateway/explainer.ts
+++ b/src/gateway/explainer.ts
@@ -93,7 +93,7 @@
 			return failure(400, `requests of this route are of the kind ${route.kind}`);
 		}
 
-		const workspace = routes.configuration.workspaces.find(({name}) => name === question.workspace);
+		const workspace = routes.configuration.workspaces?.find(({name}) => name === question.workspace);
 		if (question.workspace !== undefined && workspace === undefined) {
 			return failure(404, 'unknown workspace');
 		}
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -369,6 +369,7 @@
 			log.event('request-refused', {
 				requestId: metadata.requestId,
 				reason: failure.type,
+				hasKey: failure.type === 'unknownKey' ? metadata.key !== undefined : undefined,
 				route: route?.name,
 				version: this.#site.routes?.version,
 				confirmedAgeMs: this.#confirmedAgeMs(),
--- a/src/gateway/site/route-table.ts
+++ b/src/gateway/site/route-table.ts
@@ -16,6 +16,7 @@
 	readonly #workspacesByKey = new Map<string, Workspace>();
 
 	private constructor(readonly configuration: SiteConfiguration) {
+		const {workspaces = []} = configuration;
 		this.version = configuration.version;
 		for (const route of configuration.routes) {
 			const routes = this.#routes.get(route.host) ?? [];
@@ -28,8 +29,8 @@
 		}
 
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
-		this.#workspaces = new Map(configuration.workspaces.map(workspace => [workspace.name, workspace]));
-		for (const workspace of configuration.workspaces) {
+		this.#workspaces = new Map(workspaces.map(workspace => [workspace.name, workspace]));
+		for (const workspace of workspaces) {
 			for (const key of workspace.keys) {
 				this.#workspacesByKey.set(key, workspace);
 			}
@@ -40,6 +41,11 @@
 		return this.#workspaces.size > 0;
 	}
 
+	/** Whether a key means anything. It does even when the last workspace has been removed: the keys of that one are no longer valid. */
+	get hasKeys(): boolean {
+		return this.configuration.workspaces !== undefined;
+	}
+
 	/** @param path may include a query */
 	findRoute(host: string, path: string): Route | undefined {
 		return this.#routes.get(host)?.find(route => path.startsWith(route.pathPrefix));
--- a/src/gateway/site/types.ts
+++ b/src/gateway/site/types.ts
@@ -80,7 +80,8 @@
 	readonly version: number;
 	readonly routes: readonly Route[];
 	readonly services: readonly Service[];
-	readonly workspaces: readonly Workspace[];
+	/** Undefined where keys have no meaning. */
+	readonly workspaces?: readonly Workspace[];
 	readonly limits: CallerLimits;
 };
 
--- a/test/gateway/callers/admission.test.ts
+++ b/test/gateway/callers/admission.test.ts
@@ -54,6 +54,33 @@
 	t.like(createAdmission(configuration).admission.decide({...metadata, key: undefined}, '/summaries/1', 1000), {kind: 'admitted'});
 });
 
+// Guards against a key that was taken away, and is therefore unknown, counting as no key where none is needed.
+test('a request with an unknown key is refused on a route that allows anonymous callers', t => {
+	const configuration = createSiteConfiguration({routes: [createRoute({allowsAnonymous: true})]});
+	for (const key of ['guess', '']) {
+		t.like(createAdmission(configuration).admission.decide({...metadata, key}, '/summaries/1', 1000), {kind: 'rejected', failure: {type: 'unknownKey'}});
+	}
+});
+
+test('a request with a known key belongs to its workspace on a route that allows anonymous callers', t => {
+	const quota = {
+		unit: 'requests', perSecond: 1, burst: 1, defaultTokens: 0,
+	} as const;
+	const configuration = createSiteConfiguration({routes: [createRoute({allowsAnonymous: true})], workspaces: [createWorkspace({quota})]});
+	const {admission, clock} = createAdmission(configuration);
+	clock.advance(5000);
+	t.like(admission.decide(metadata, '/summaries/1', 1000), {kind: 'admitted', workspace: {name: 'wick'}, units: 1});
+});
+
+// Guards against a key that counts as no key again once the workspaces have been removed, the last of them with it.
+test('a request with a key is refused when the list of workspaces is empty, and served when the configuration has no such list', t => {
+	const decide = (workspaces: SiteConfiguration['workspaces'], key: string | undefined) =>
+		createAdmission(createSiteConfiguration({workspaces})).admission.decide({...metadata, key}, '/summaries/1', 1000);
+	t.like(decide([], 'key-wick'), {kind: 'rejected', failure: {type: 'unknownKey'}});
+	t.like(decide([], undefined), {kind: 'admitted'});
+	t.like(decide(undefined, 'key-wick'), {kind: 'admitted'});
+});
+
 test('without a configuration, or with one that is too old, a request is refused as not run instead of as an unknown route', t => {
 	const clock = ManualClock.create(0);
 	const empty = Admission.create({
--- a/test/platform/documents.test.ts
+++ b/test/platform/documents.test.ts
@@ -50,12 +50,18 @@
 	});
 });
 
+// Guards against a configuration without its last workspace that looks like one of a site without keys.
+test('an empty list of workspaces differs from none', t => {
+	t.deepEqual(decodeConfiguration(JSON.stringify({...configuration, tenants: []})).workspaces, []);
+	t.is(decodeConfiguration(JSON.stringify({...configuration, tenants: undefined})).workspaces, undefined);
+});
+
 test('a workspace whose rate is 0 has no quota', t => {
 	const {workspaces} = decodeConfiguration(JSON.stringify(configuration));
-	t.deepEqual(workspaces[0]?.quota, {
+	t.deepEqual(workspaces?.[0]?.quota, {
 		unit: 'tokens', perSecond: 10, burst: 20, defaultTokens: 200,
 	});
-	t.is(workspaces[1]?.quota, undefined);
+	t.is(workspaces?.[1]?.quota, undefined);
 });
 
 test('decodes an endpoint and ignores unknown fields', t => {
--- a/test/platform/request-headers.test.ts
+++ b/test/platform/request-headers.test.ts
@@ -34,6 +34,13 @@
 	});
 });
 
+// Guards against a malformed key, which no workspace holds, that is taken for no key.
+test('all that follows the scheme of bearer credentials is the key, and other credentials carry none', t => {
+	const keyOf = (authorization: string | undefined) => decodeRequestHeaders({host: 'a', authorization}).key;
+	t.deepEqual(['Bearer secret', 'bearer   secret', 'BEARER\tsecret', 'Bearer two keys', 'Bearer'].map(text => keyOf(text)), ['secret', 'secret', 'secret', 'two keys', '']);
+	t.deepEqual([undefined, '', 'secret', 'Basic c2VjcmV0', 'Bearers secret'].map(text => keyOf(text)), Array.from({length: 5}, () => undefined));
+});
+
 test('a prompt without parts, or with its own part alone, has no shared parts', t => {
 	for (const value of [undefined, '', ',', 'e4402b7d:250', ':4,:5']) {
 		t.deepEqual(decodeRequestHeaders({host: 'a', 'x-prompt-prefix': value}).sharedPromptParts, []);
