--- a/soak/configuration.ts
+++ b/soak/configuration.ts
@@ -54,7 +54,9 @@
 		this.#version += 1 + (this.#version % 3);
 		const document = createConfigurationDocument();
 		const lookupService = lookupServices[this.#lookupServiceIndex];
-		const knownRoutes = (document.routes as Array<Record<string, unknown>>).map(route => route.name === 'lookups' ? {...route, service: lookupService} : route);
+		const knownRoutes = (document.routes as Array<Record<string, unknown>>).map(route =>
+			// eslint-disable-next-line @typescript-eslint/naming-convention -- the platform's name
+			route.name === 'lookups' ? {...route, service: lookupService, allow_anonymous: true} : route);
 		const bookings = knownRoutes.find(({name}) => name === 'bookings');
 		this.events.push({kind: 'configuration-published', at: performance.now()});
 		/* eslint-disable @typescript-eslint/naming-convention -- the platform's names */
