--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -451,6 +451,7 @@
 			version: request.configurationVersion,
 			promptParts: request.promptParts.length === 0 ? undefined : request.promptParts.slice(0, maximumLoggedParts).join(','),
 			afterEvent: this.#lastEventId,
+			coldLimit: context.scheduler.findColdLimit(endpointId),
 			limitPerSecond: limit?.perSecond,
 			limitAgeMs: limit === undefined ? undefined : Math.round(now - limit.heardAt),
 			limitHeardBy: limit?.heardBy,
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -654,6 +654,7 @@
 			openRequests: this.#callerServer.openRequests,
 			heldConnections: this.#callerServer.heldConnections,
 			presentPeers: this.#peers.presentHosts().length,
+			sharingInstances: this.#peers.memberCount,
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
 			grantedSlots: slots.granted,
--- a/src/gateway/observability/gateway-metrics.ts
+++ b/src/gateway/observability/gateway-metrics.ts
@@ -23,6 +23,7 @@
 	readonly openRequests: number;
 	readonly heldConnections: number;
 	readonly presentPeers: number;
+	readonly sharingInstances: number;
 	readonly confirmedAgeMs: Milliseconds;
 	readonly endpointConnections: number;
 	readonly quarantineEntries: number;
@@ -159,6 +160,7 @@
 		openRequests: new Gauge({name: 'jackdawfork_open_requests', help: 'Requests that are being read or answered', registers: [this.#registry]}),
 		heldConnections: new Gauge({name: 'jackdawfork_held_caller_connections', help: 'Connections of callers that are not read until responses to earlier requests are taken', registers: [this.#registry]}),
 		presentPeers: new Gauge({name: 'jackdawfork_present_peers', help: 'Other instances that are heard', registers: [this.#registry]}),
+		sharingInstances: new Gauge({name: 'jackdawfork_sharing_instances', help: 'Instances that the limits of all are divided among', registers: [this.#registry]}),
 		confirmedAgeMs: new Gauge({name: 'jackdawfork_configuration_confirmed_age_milliseconds', help: 'Age of the reading that confirmed the configuration', registers: [this.#registry]}),
 		endpointConnections: new Gauge({name: 'jackdawfork_endpoint_connections', help: 'Open connections to endpoints', registers: [this.#registry]}),
 		storeEra: new Gauge({name: 'jackdawfork_store_era', help: 'Number of restores of the store from older copies, -1 when it is not known', registers: [this.#registry]}),
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -322,6 +322,12 @@
 		};
 	}
 
+	/** Requests that this instance may send to an endpoint within the window of the cold rate; undefined when the endpoint is not cold. */
+	findColdLimit(endpointId: string): number | undefined {
+		const load = this.#loads.get(endpointId);
+		return load && this.#findColdLimit(load, this.options.clock.now());
+	}
+
 	/** Records the end of a request at an endpoint and dispatches waiting requests to the free slot. */
 	recordOutcome(endpointId: string, outcome: AttemptOutcome, measurements: RunMeasurements = {}): void {
 		const now = this.options.clock.now();
@@ -965,18 +971,24 @@
 		return record.isLeaving || this.options.restrictions.isLeaving(record);
 	}
 
+	/** Own limit at an endpoint that is cold now, of a service that limits the requests to those. */
+	#findColdLimit(load: EndpointLoad, now: Milliseconds): number | undefined {
+		const {coldRequestsPerSecond} = this.#service;
+		const {coldRateLimiter, members} = this.options;
+		return coldRequestsPerSecond > 0 && load.isCold(now) ? coldRateLimiter.ownLimit(load.record.id, coldRequestsPerSecond, members()) : undefined;
+	}
+
 	#findRateObstacle(load: EndpointLoad, now: Milliseconds): PlacementObstacle | undefined {
 		if (load.inFlight >= Math.max(1, Math.floor(usedConnectionRatio * this.#service.maximumConnections / this.options.memberCount()))) {
 			return placementObstacles.connections;
 		}
 
-		const {coldRequestsPerSecond} = this.#service;
-		if (coldRequestsPerSecond === 0 || !load.isCold(now)) {
+		const coldLimit = this.#findColdLimit(load, now);
+		if (coldLimit === undefined) {
 			return undefined;
 		}
 
-		const {coldRateLimiter, members, knowsMembers} = this.options;
-		const isPermitted = knowsMembers() && coldRateLimiter.permits(load.record.id, coldRateLimiter.ownLimit(load.record.id, coldRequestsPerSecond, members()), now);
-		return isPermitted ? undefined : placementObstacles.cold;
+		const {coldRateLimiter, knowsMembers} = this.options;
+		return knowsMembers() && coldRateLimiter.permits(load.record.id, coldLimit, now) ? undefined : placementObstacles.cold;
 	}
 }
--- a/test/gateway/observability/scheduling-metrics.test.ts
+++ b/test/gateway/observability/scheduling-metrics.test.ts
@@ -18,6 +18,7 @@
 		inFlight: 0,
 		openRequests: 0,
 		presentPeers: 0,
+		sharingInstances: 1,
 		confirmedAgeMs: 0,
 		endpointConnections: 0,
 		quarantineEntries: 0,
