--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -118,6 +118,7 @@
 	readonly #plannedStop: PlannedStop;
 	#features = noSchedulingFeatures;
 	#wasReady = false;
+	#wasFleetKnown = false;
 
 	private constructor(private readonly options: GatewayProcessOptions) {
 		const {settings, clock, freshnessClock, log, source} = options;
@@ -276,6 +277,7 @@
 			exchange,
 			onTick: () => {
 				this.#logPeerChanges(this.#peerAccounting.tick(clock.now()));
+				this.#logFleetSize();
 			},
 			onSent: bytes => {
 				this.#metrics.recordSentToPeers(bytes);
@@ -510,6 +512,15 @@
 		this.#restrictions.handlePeerChanges(changes);
 	}
 
+	/** Logs when this instance begins or ceases to know how many there are. */
+	#logFleetSize(): void {
+		const {isFleetKnown, memberCount, sharingCount} = this.#peers;
+		if (isFleetKnown !== this.#wasFleetKnown) {
+			this.#wasFleetKnown = isFleetKnown;
+			this.options.log.event(isFleetKnown ? 'fleet-known' : 'fleet-unknown', {members: memberCount, sharing: sharingCount});
+		}
+	}
+
 	#onSiteChanges(changes: readonly SiteChange[]): void {
 		const {log, clock} = this.options;
 		for (const change of changes) {
@@ -571,6 +582,7 @@
 			isPeerLoadLate: () => this.#peers.isZoned,
 			members: () => this.#peers.members(),
 			memberCount: () => this.#peers.memberCount,
+			sharingCount: () => this.#peers.sharingCount,
 			knowsMembers: () => this.#peers.knowsMembers(clock.now()),
 			mayDispatch: expectedRunMs => this.#plannedStop.allowsDispatch(expectedRunMs),
 			random: Math.random,
@@ -654,7 +666,7 @@
 			openRequests: this.#callerServer.openRequests,
 			heldConnections: this.#callerServer.heldConnections,
 			presentPeers: this.#peers.presentHosts().length,
-			sharingInstances: this.#peers.memberCount,
+			sharingInstances: this.#peers.sharingCount,
 			confirmedAgeMs: this.#confirmedAgeMs() ?? -1,
 			endpointConnections: this.#connectionPools.size,
 			grantedSlots: slots.granted,
--- a/src/gateway/membership/heartbeat-exchange.ts
+++ b/src/gateway/membership/heartbeat-exchange.ts
@@ -148,7 +148,7 @@
 		this.#sequence++;
 		return encodeHeartbeat({
 			host, availabilityZone, incarnation, sequence: this.#sequence, isLeaving, ...content(), knownHosts: this.#selectKnownHosts(knownHosts),
-			fleetSize: peers.isZoned ? peers.memberCount : undefined,
+			fleetSize: peers.toldFleetSize,
 		});
 	}
 
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -1,5 +1,6 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {hashText} from '../../shared/hash.js';
+import {FleetSize} from './fleet-size.js';
 import {RemoteZones} from './remote-zones.js';
 import type {
 	EndpointInFlight, Heartbeat, Peer, ZoneSummary,
@@ -83,6 +84,7 @@
 	/** Hosts that a peer listed or that were forgotten, each with the time until which heartbeats are sent to it. */
 	readonly #candidates = new Map<string, Milliseconds>();
 	readonly #remoteZones = RemoteZones.create();
+	readonly #fleetSize = FleetSize.create();
 	/** When the last heartbeat that answers a host of another zone was sent. */
 	readonly #answeredAt = new Map<string, Milliseconds>();
 	/** When the last heartbeat was sent to each seed. */
@@ -107,10 +109,24 @@
 		return this.members().length;
 	}
 
-	/** Whether this instance has had time to hear of all others. Until then its share of what all of them may do together is unknown. */
+	/** Whether the members are all instances that run, as of the last call of `expire`. */
+	get isFleetKnown(): boolean {
+		return this.#fleetSize.isKnown;
+	}
+
+	/** Number of instances that the limits of all are divided among: that of the members, or a larger one while they may not be all. */
+	get sharingCount(): number {
+		return this.#fleetSize.sharingCount(this.memberCount);
+	}
+
+	/** Number of members that peers are told: when it is known, or when it shows that the fleet is large. */
+	get toldFleetSize(): number | undefined {
+		return this.isFleetKnown || this.memberCount > zonedAbove ? this.memberCount : undefined;
+	}
+
+	/** Whether this instance has had time to hear of all others that it can reach. */
 	knowsMembers(now: Milliseconds): boolean {
-		return now - this.startedAt > (this.#isZoned ? largeFleetKnownAfterMs : smallFleetKnownAfterMs)
-			&& (now - this.#memberAddedAt > membersSettledAfterMs || now - this.startedAt > 2 * largeFleetKnownAfterMs);
+		return this.#hasSettled(this.startedAt, now);
 	}
 
 	/** Whether heartbeats are exchanged only within the zone. */
@@ -160,6 +176,7 @@
 
 	setSeedHosts(hosts: readonly string[]): void {
 		this.#seedHosts = hosts.filter(host => host !== this.ownHost);
+		this.#fleetSize.setHasSeeds(this.#seedHosts.length > 0);
 	}
 
 	/** Applies a heartbeat. Returns undefined when it is ignored, because it is this instance's own or arrived after a later one. */
@@ -169,9 +186,7 @@
 			return undefined;
 		}
 
-		if ((heartbeat.fleetSize ?? 0) > zonedAbove) {
-			this.#zonedUntil = now + zonedAfterNewsMs;
-		}
+		this.#learnFleetSize(heartbeat.fleetSize, now);
 
 		if (this.#isZoned && heartbeat.availabilityZone !== this.availabilityZone) {
 			return this.#receiveFromOtherZone(heartbeat, now);
@@ -233,6 +248,7 @@
 		this.#remoteZones.expire(now);
 		changes.push(...this.#updateTopology(now));
 		this.#recordAddedMembers(now);
+		this.#fleetSize.update(this.memberCount, this.#hearsSeed(), since => this.#hasSettled(since, now), now);
 
 		for (const [host, until] of this.#candidates) {
 			if (now > until) {
@@ -354,6 +370,29 @@
 		return [];
 	}
 
+	#learnFleetSize(size: number | undefined, now: Milliseconds): void {
+		if (size === undefined) {
+			return;
+		}
+
+		const isLarge = size > zonedAbove;
+		this.#fleetSize.learn(size, isLarge);
+		if (isLarge) {
+			this.#zonedUntil = now + zonedAfterNewsMs;
+		}
+	}
+
+	/** Whether another seed is a member. */
+	#hearsSeed(): boolean {
+		return this.#seedHosts.some(host => this.#peers.has(host) || this.#remoteZones.hosts().includes(host));
+	}
+
+	/** Whether all members that were looked for since a time have been found. */
+	#hasSettled(since: Milliseconds, now: Milliseconds): boolean {
+		return now - since > (this.#isZoned ? largeFleetKnownAfterMs : smallFleetKnownAfterMs)
+			&& (now - this.#memberAddedAt > membersSettledAfterMs || now - since > 2 * largeFleetKnownAfterMs);
+	}
+
 	#recordAddedMembers(now: Milliseconds): void {
 		const members = this.members();
 		if (members.some(host => !this.#previousMembers.has(host))) {
--- a/src/gateway/membership/types.ts
+++ b/src/gateway/membership/types.ts
@@ -20,7 +20,7 @@
 	readonly usage: readonly WorkspaceUsage[];
 	/** Hosts of some instances from which the sender receives heartbeats. */
 	readonly knownHosts: readonly string[];
-	/** Number of instances that the sender knows; only in a large fleet, whose instances do not hear all others. */
+	/** Number of instances that the sender knows; undefined while it may know only a part of a small fleet. */
 	readonly fleetSize?: number;
 };
 
--- a/src/gateway/scheduling/service-scheduler.ts
+++ b/src/gateway/scheduling/service-scheduler.ts
@@ -61,6 +61,8 @@
 	/** Hosts of all instances, including this one. */
 	readonly members: () => readonly string[];
 	readonly memberCount: () => number;
+	/** Number of instances that the limits of all are divided among. Default: that of the members. */
+	readonly sharingCount?: () => number;
 	/** Whether this process has listened for peers long enough to know its own limit at a cold endpoint. */
 	readonly knowsMembers: () => boolean;
 	/** Whether this process goes on for long enough to dispatch a request that is expected to run for this time. */
@@ -974,8 +976,8 @@
 	/** Own limit at an endpoint that is cold now, of a service that limits the requests to those. */
 	#findColdLimit(load: EndpointLoad, now: Milliseconds): number | undefined {
 		const {coldRequestsPerSecond} = this.#service;
-		const {coldRateLimiter, members} = this.options;
-		return coldRequestsPerSecond > 0 && load.isCold(now) ? coldRateLimiter.ownLimit(load.record.id, coldRequestsPerSecond, members()) : undefined;
+		const {coldRateLimiter, members, sharingCount} = this.options;
+		return coldRequestsPerSecond > 0 && load.isCold(now) ? coldRateLimiter.ownLimit(load.record.id, coldRequestsPerSecond, members(), sharingCount?.()) : undefined;
 	}
 
 	#findRateObstacle(load: EndpointLoad, now: Milliseconds): PlacementObstacle | undefined {
