--- a/src/gateway/forwarding/extra-attempt.ts
+++ b/src/gateway/forwarding/extra-attempt.ts
@@ -162,7 +162,7 @@
 			callerLeavesAt,
 			waiting: this.context.scheduler.waiting,
 			ratio: this.#ratio,
-			memberCount: this.context.memberCount(),
+			sharingCount: this.context.sharingCount(),
 		};
 	}
 
--- a/src/gateway/forwarding/forward-task.ts
+++ b/src/gateway/forwarding/forward-task.ts
@@ -332,7 +332,7 @@
 	#requestMove(attempt: Attempt, now: Milliseconds): void {
 		const {context, request: {route, service}} = this;
 		const waiting = this.#createWaitingRequest(this.#lastEventAt, this.#lastEventAt + route.eventGapTargetMs);
-		if (!this.#streamMove.isWaiting && now <= waiting.latestDispatchAt && this.#mayRetry(attempt, now) && context.retryBudgets.canTake(service, context.memberCount(), now)) {
+		if (!this.#streamMove.isWaiting && now <= waiting.latestDispatchAt && this.#mayRetry(attempt, now) && context.retryBudgets.canTake(service, context.sharingCount(), now)) {
 			this.#streamMove.wait({
 				...waiting,
 				excluded: new Set([...this.#excluded, attempt.endpointId]),
@@ -762,7 +762,7 @@
 	}
 
 	#takeRetryBudget(now: Milliseconds): boolean {
-		return this.context.retryBudgets.tryTake(this.request.service, this.context.memberCount(), now);
+		return this.context.retryBudgets.tryTake(this.request.service, this.context.sharingCount(), now);
 	}
 
 	#refuse({reason, retryAfterMs, expectedWaitMs, waiting}: Refusal): void {
--- a/src/gateway/forwarding/types.ts
+++ b/src/gateway/forwarding/types.ts
@@ -103,8 +103,8 @@
 	readonly features: () => SchedulingFeatures;
 	readonly retryBudgets: RetryBudgets;
 	readonly extraAttempts: ExtraAttempts;
-	/** Number of instances that share the retry budget, including this one; infinite while it is unknown. */
-	readonly memberCount: () => number;
+	/** Number of instances that the extra part of the retry budget is divided among, including this one. */
+	readonly sharingCount: () => number;
 	/** Age of the store read that confirmed the configuration and the endpoints. */
 	readonly confirmedAgeMs: () => Milliseconds | undefined;
 	/** Longest time for which a caller's disconnect may have been unread. */
--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -411,7 +411,7 @@
 			features: () => this.#features,
 			retryBudgets: this.#retryBudgets,
 			extraAttempts: this.#extraAttempts,
-			memberCount: () => this.#peers.isZoned && !this.#peers.knowsMembers(clock.now()) ? Infinity : this.#peers.memberCount,
+			sharingCount: () => this.#peers.sharingCount,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
 			unreadMs: () => this.#readingProgress.unreadMs(),
 			afterReading: callback => {
--- a/src/gateway/limits/retry-budgets.ts
+++ b/src/gateway/limits/retry-budgets.ts
@@ -26,9 +26,9 @@
 		this.#currentSlice(service, now).requests++;
 	}
 
-	/** @param memberCount number of instances that the fixed number is divided among */
-	tryTake(service: string, memberCount: number, now: Milliseconds): boolean {
-		if (!this.canTake(service, memberCount, now)) {
+	/** @param sharingCount number of instances that the fixed number is divided among */
+	tryTake(service: string, sharingCount: number, now: Milliseconds): boolean {
+		if (!this.canTake(service, sharingCount, now)) {
 			return false;
 		}
 
@@ -37,14 +37,14 @@
 	}
 
 	/** As `tryTake`, but takes nothing. */
-	canTake(service: string, memberCount: number, now: Milliseconds): boolean {
-		const {retries, allowedRetries} = this.#use(service, memberCount, now);
+	canTake(service: string, sharingCount: number, now: Milliseconds): boolean {
+		const {retries, allowedRetries} = this.#use(service, sharingCount, now);
 		return retries + 1 <= allowedRetries;
 	}
 
 	/** As `tryTake`, for an attempt beside one that has not failed. */
-	tryTakeExtraAttempt(service: string, memberCount: number, now: Milliseconds): boolean {
-		if (!this.canTakeExtraAttempt(service, memberCount, now)) {
+	tryTakeExtraAttempt(service: string, sharingCount: number, now: Milliseconds): boolean {
+		if (!this.canTakeExtraAttempt(service, sharingCount, now)) {
 			return false;
 		}
 
@@ -55,12 +55,12 @@
 	}
 
 	/** As `tryTakeExtraAttempt`, but takes nothing. */
-	canTakeExtraAttempt(service: string, memberCount: number, now: Milliseconds): boolean {
-		const {retries, extraAttempts, allowedRetries} = this.#use(service, memberCount, now);
+	canTakeExtraAttempt(service: string, sharingCount: number, now: Milliseconds): boolean {
+		const {retries, extraAttempts, allowedRetries} = this.#use(service, sharingCount, now);
 		return retries + 1 <= allowedRetries && extraAttempts + 1 <= extraAttemptRatio * allowedRetries;
 	}
 
-	#use(service: string, memberCount: number, now: Milliseconds): {readonly retries: number; readonly extraAttempts: number; readonly allowedRetries: number} {
+	#use(service: string, sharingCount: number, now: Milliseconds): {readonly retries: number; readonly extraAttempts: number; readonly allowedRetries: number} {
 		this.#currentSlice(service, now);
 		let requests = 0;
 		let retries = 0;
@@ -71,7 +71,7 @@
 			extraAttempts += slice.extraAttempts;
 		}
 
-		return {retries, extraAttempts, allowedRetries: usedBoundRatio * ((this.bounds.retryRatio * requests) + (this.bounds.retryExtra / memberCount))};
+		return {retries, extraAttempts, allowedRetries: usedBoundRatio * ((this.bounds.retryRatio * requests) + (this.bounds.retryExtra / sharingCount))};
 	}
 
 	#currentSlice(service: string, now: Milliseconds): Slice {
--- a/src/gateway/scheduling/extra-attempts.ts
+++ b/src/gateway/scheduling/extra-attempts.ts
@@ -102,7 +102,7 @@
 	/** Extra attempts allowed as a ratio of the requests of the service. */
 	readonly ratio: number;
 	/** Number of instances that share the retry budget. */
-	readonly memberCount: number;
+	readonly sharingCount: number;
 };
 
 export type ExtraAttemptDecision
@@ -318,9 +318,9 @@
 	}
 
 	/** Counts an extra attempt that begins. `decide` has allowed it in the same step. */
-	take({service, memberCount}: SlowRequest, now: Milliseconds): void {
+	take({service, sharingCount}: SlowRequest, now: Milliseconds): void {
 		this.#useOf(service).recordExtraAttempt(now);
-		this.retryBudgets.tryTakeExtraAttempt(service, memberCount, now);
+		this.retryBudgets.tryTakeExtraAttempt(service, sharingCount, now);
 	}
 
 	/** Removes what is no longer used. Called periodically. */
@@ -344,7 +344,7 @@
 		}
 	}
 
-	#findObstacle({service, route, endpointCount, callerLeavesAt, waiting, ratio, memberCount}: SlowRequest, now: Milliseconds): WithheldReason | undefined {
+	#findObstacle({service, route, endpointCount, callerLeavesAt, waiting, ratio, sharingCount}: SlowRequest, now: Milliseconds): WithheldReason | undefined {
 		if (endpointCount >= route.maximumEndpoints) {
 			return withheldReasons.maximumEndpoints;
 		}
@@ -365,7 +365,7 @@
 			return withheldReasons.limit;
 		}
 
-		return this.retryBudgets.canTakeExtraAttempt(service, memberCount, now) ? undefined : withheldReasons.retryBudget;
+		return this.retryBudgets.canTakeExtraAttempt(service, sharingCount, now) ? undefined : withheldReasons.retryBudget;
 	}
 
 	#recordSlow(endpointId: string, now: Milliseconds): void {
--- a/test/gateway/scheduling/extra-attempts.test.ts
+++ b/test/gateway/scheduling/extra-attempts.test.ts
@@ -20,7 +20,7 @@
 		callerLeavesAt: Infinity,
 		waiting: 0,
 		ratio: 0.1,
-		memberCount: 1,
+		sharingCount: 1,
 		...values,
 	};
 }
@@ -91,7 +91,7 @@
 		['caller-time-over', {callerLeavesAt: now}],
 		['waiting', {waiting: 1}],
 		['limit', {ratio: 0.009}],
-		['retry-budget', {memberCount: Infinity}],
+		['retry-budget', {sharingCount: Infinity}],
 	];
 	for (const [reason, values] of reasons) {
 		const {extraAttempts} = createUsed({budgets: reason === 'retry-budget' ? {...bounds, retryRatio: 0.01} : bounds});
--- a/test/gateway/unreachable-seeds.test.ts
+++ b/test/gateway/unreachable-seeds.test.ts
@@ -62,3 +62,25 @@
 	const statuses = await sendStreams(gateways, 500);
 	t.true(statuses.includes(200), `statuses ${statuses.join(',')}`);
 });
+
+// Guards against instances that each use the whole extra part of the retry budget because they hear no other one.
+test.serial('instances that reach none of their seeds retry no more than all of them may', async t => {
+	const {site, gateways} = await startSeparated(t, 4);
+	const endpoints = [await site.addEndpoint({id: 'e0', isEngine: false}, {slots: 64}), await site.addEndpoint({id: 'e1', isEngine: false}, {slots: 64})];
+	await until(() => gateways.every(({memoryLog}) => memoryLog.linesOf('endpoint-added').length === 2));
+	const requestsEach = 60;
+	for (const endpoint of endpoints) {
+		endpoint.faults.push(...Array.from({length: 2 * requestsEach * gateways.length}, () => 'error' as const));
+	}
+
+	for (let count = 0; count < requestsEach; count++) {
+		// eslint-disable-next-line no-await-in-loop -- one request of each instance at a time
+		await Promise.all(gateways.map(async gateway => call(gateway)));
+	}
+
+	const requests = requestsEach * gateways.length;
+	const retries = endpoints.reduce((sum, {receivedRequests}) => sum + receivedRequests.length, 0) - requests;
+	const allowed = (bounds.retryRatio * requests) + bounds.retryExtra;
+	t.true(retries <= allowed, `${retries} retries, ${allowed} allowed`);
+	t.true(retries > 0);
+});
