--- a/src/gateway/limits/workspace-quotas.ts
+++ b/src/gateway/limits/workspace-quotas.ts
@@ -24,7 +24,7 @@
 /** Refill of a process that hears no peer, as a fraction of the rate: peers that it can't hear may use the same quota. An equal share of seven instances is 0.14. */
 const unconfirmedRefillRatio = 0.2;
 
-/** Time after the start from which a process that hears no peer assumes that it is the only one. */
+/** Time after the start from which a process that hears no peer takes itself for the only one, if the fleet is known. */
 const assumeSoleInstanceAfterMs: Milliseconds = 15_000;
 
 /** Time after the start in which bucket levels are adopted from peers. A new process hears all of them within one or two heartbeats. */
@@ -219,9 +219,14 @@
 		this.#peers.delete(host);
 	}
 
-	/** Deducts the estimated use of the peers since the last estimate; their next heartbeats correct it. A silent peer may still serve. */
-	estimatePeerUsage(now: Milliseconds): void {
-		this.#refillRatio = this.#peers.size > 0 || now - this.startedAt > assumeSoleInstanceAfterMs ? 1 : unconfirmedRefillRatio;
+	/**
+	Deducts the estimated use of the peers since the last estimate; their next heartbeats correct it. A silent peer may still serve.
+
+	@param isFleetKnown whether the peers are all other instances that run
+	*/
+	estimatePeerUsage(now: Milliseconds, isFleetKnown: boolean): void {
+		const isSole = isFleetKnown && now - this.startedAt > assumeSoleInstanceAfterMs;
+		this.#refillRatio = this.#peers.size > 0 || isSole ? 1 : unconfirmedRefillRatio;
 		let instances = 1;
 		for (const [id, peer] of this.#peers) {
 			instances += peer.instances;
--- a/src/gateway/membership/peer-accounting.ts
+++ b/src/gateway/membership/peer-accounting.ts
@@ -47,7 +47,7 @@
 
 	tick(now: Milliseconds): PeerChange[] {
 		const changes = this.#forgetUsageOfRemoved(this.peers.expire(now));
-		this.quotas.estimatePeerUsage(now);
+		this.quotas.estimatePeerUsage(now, this.peers.isFleetKnown);
 		return changes;
 	}
 
--- a/test/gateway/limits/workspace-quotas.test.ts
+++ b/test/gateway/limits/workspace-quotas.test.ts
@@ -28,7 +28,7 @@
 test('returns the time until the units are available', t => {
 	const quotas = WorkspaceQuotas.create({bounds, now: 0});
 	quotas.configure(workspaces, 0);
-	quotas.estimatePeerUsage(20_000);
+	quotas.estimatePeerUsage(20_000, true);
 	let taken = quotas.tryTake('wick', 50_000, 20_000);
 	while (taken.isTaken) {
 		taken = quotas.tryTake('wick', 50_000, 20_000);
@@ -41,7 +41,7 @@
 test('a request larger than the burst is admitted when the bucket is nearly full, and the next one only after the level has recovered', t => {
 	const quotas = WorkspaceQuotas.create({bounds, now: 0});
 	quotas.configure(workspaces, 0);
-	quotas.estimatePeerUsage(20_000);
+	quotas.estimatePeerUsage(20_000, true);
 	t.true(quotas.tryTake('wick', 400_000, 20_000).isTaken);
 	t.false(quotas.tryTake('wick', 1000, 21_000).isTaken);
 });
@@ -49,7 +49,7 @@
 test('a process that starts adopts the bucket level of a peer', t => {
 	const old = WorkspaceQuotas.create({bounds, now: 0});
 	old.configure(workspaces, 0);
-	old.estimatePeerUsage(20_000);
+	old.estimatePeerUsage(20_000, true);
 	old.tryTake('wick', 10_000, 20_000);
 	const restarted = WorkspaceQuotas.create({bounds, now: 20_000});
 	restarted.configure(workspaces, 20_000);
@@ -69,7 +69,7 @@
 test('a lowered quota applies at once, and a removed quota is no limit', t => {
 	const quotas = WorkspaceQuotas.create({bounds, now: 0});
 	quotas.configure(workspaces, 0);
-	quotas.estimatePeerUsage(20_000);
+	quotas.estimatePeerUsage(20_000, true);
 	t.true(quotas.tryTake('wick', 90_000, 20_000).isTaken);
 	quotas.configure([createWorkspace({quota: {...quota, perSecond: 10, burst: 10}})], 30_000);
 	t.true(quotas.tryTake('wick', 25_000, 30_000).isTaken);
@@ -178,7 +178,7 @@
 			return;
 		}
 
-		quotas.estimatePeerUsage(now);
+		quotas.estimatePeerUsage(now, true);
 		for (let request = 0; request < 4; request++) {
 			const units = 500 + this.#randomUpTo(8000);
 			if (quotas.tryTake('wick', units, now).isTaken) {
@@ -219,7 +219,7 @@
 	let units = 0;
 	for (let now = 0; now < 20_000; now += 50) {
 		for (const [index, member] of quotas.entries()) {
-			member.estimatePeerUsage(now);
+			member.estimatePeerUsage(now, true);
 			if (member.tryTake('wick', 4000, now).isTaken) {
 				units += 4000;
 			}
--- a/test/gateway/membership/membership-group.test.ts
+++ b/test/gateway/membership/membership-group.test.ts
@@ -191,6 +191,41 @@
 	t.true(maximum <= windowBound, `seed ${seed}: ${maximum} units in a window, bound ${windowBound}`);
 });
 
+// Guards against instances that each grant the whole quota because they have heard no other one for a while.
+test('instances that start while all seeds are down keep the quota of a workspace however long that lasts, and grant it when they know each other', t => {
+	const group = MembershipGroup.create(7, 4);
+	const uses: Array<{at: number; units: number}> = [];
+	const serve = () => {
+		for (const {quotas} of group.members.values()) {
+			while (quotas.tryTake('wick', 2000, group.now).isTaken) {
+				uses.push({at: group.now, units: 2000});
+			}
+		}
+	};
+
+	const hosts = [...group.members.values()].map(({host, availabilityZone}) => ({host, availabilityZone}));
+	for (const {host} of hosts) {
+		group.kill(host);
+	}
+
+	for (const {host, availabilityZone} of hosts.slice(3)) {
+		group.start(host, availabilityZone);
+	}
+
+	group.advance(40_000, serve);
+	t.true(uses.length > 0);
+	for (const {host, availabilityZone} of hosts.slice(0, 3)) {
+		group.start(host, availabilityZone);
+	}
+
+	group.advance(20_000, serve);
+	const maximum = maximumInWindow(uses);
+	t.log(`${maximum} units in a window, bound ${windowBound}`);
+	t.true(maximum <= windowBound, `${maximum} units in a window, bound ${windowBound}`);
+	const granted = uses.filter(({at}) => at > group.now - 10_000).reduce((sum, {units}) => sum + units, 0) / 10;
+	t.true(granted > 0.9 * groupQuota.perSecond, `${granted} units a second`);
+});
+
 // Guards against a sum that holds only between instances that know each other: after a common start over lossy links each knows few others at first, and shares that are computed from these exceed the bounds of cold endpoints and of retries.
 test('the shares of cold endpoints and of retries stay within their bounds from a common start over lossy links on', t => {
 	const group = MembershipGroup.create(195, 6, createRandom(testSeed()));
@@ -203,9 +238,10 @@
 		let [cold, retries] = [0, 0];
 		for (const {host, peers} of group.members.values()) {
 			if (peers.knowsMembers(group.now)) {
-				cold += ColdRateLimiter.create({bounds, ownHost: host}).ownLimit('e1', coldRequestsPerSecond, peers.members());
-				retries += usedBoundRatio * bounds.retryExtra / peers.memberCount;
+				cold += ColdRateLimiter.create({bounds, ownHost: host}).ownLimit('e1', coldRequestsPerSecond, peers.members(), peers.sharingCount);
 			}
+
+			retries += usedBoundRatio * bounds.retryExtra / peers.sharingCount;
 		}
 
 		maximumCold = Math.max(maximumCold, cold);
@@ -215,5 +251,5 @@
 	t.log({maximumCold, maximumRetries});
 	t.true(maximumCold <= coldBound, `${maximumCold} requests a second, bound ${coldBound}`);
 	t.true(maximumRetries <= bounds.retryExtra, `${maximumRetries} retries, bound ${bounds.retryExtra}`);
-	t.true([...group.members.values()].every(({peers}) => peers.knowsMembers(group.now)));
+	t.true([...group.members.values()].every(({peers}) => peers.knowsMembers(group.now) && peers.isFleetKnown));
 });
