--- a/src/gateway/gateway-process.ts
+++ b/src/gateway/gateway-process.ts
@@ -411,7 +411,7 @@
 			features: () => this.#features,
 			retryBudgets: this.#retryBudgets,
 			extraAttempts: this.#extraAttempts,
-			sharingCount: () => this.#peers.sharingCount,
+			sharingCount: () => this.#peers.estimatedCount,
 			confirmedAgeMs: () => this.#confirmedAgeMs(),
 			unreadMs: () => this.#readingProgress.unreadMs(),
 			afterReading: callback => {
--- a/src/gateway/membership/fleet-size.ts
+++ b/src/gateway/membership/fleet-size.ts
@@ -56,6 +56,12 @@
 		}
 	}
 
+	/** As `sharingCount`, but while a seed is heard and the fleet is not known yet, the hosts that it has named are enough. */
+	estimatedCount(memberCount: number, namedCount: number): number {
+		const isConnected = !this.#isKnown && this.#connectedSince !== undefined;
+		return isConnected ? Math.max(memberCount + namedCount, this.#lastKnown ?? 0) : this.sharingCount(memberCount);
+	}
+
 	/** Number of instances that a limit is divided among. */
 	sharingCount(memberCount: number): number {
 		return this.#isKnown ? memberCount : Math.max(memberCount, this.#lastKnown ?? (this.#hasSeeds ? largestFleet : 0));
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -119,6 +119,11 @@
 		return this.#fleetSize.sharingCount(this.memberCount);
 	}
 
+	/** As `sharingCount`, for what may be exceeded in the moments in which instances find each other: known and named hosts count at once. */
+	get estimatedCount(): number {
+		return this.#isZoned ? this.sharingCount : this.#fleetSize.estimatedCount(this.memberCount, this.#candidates.size);
+	}
+
 	/** Number of members that peers are told: when it is known, or when it shows that the fleet is large. */
 	get toldFleetSize(): number | undefined {
 		return this.isFleetKnown || this.memberCount > zonedAbove ? this.memberCount : undefined;
