--- a/src/gateway/membership/fleet-size.ts
+++ b/src/gateway/membership/fleet-size.ts
@@ -26,6 +26,11 @@
 		return this.#isKnown;
 	}
 
+	/** Whether the number that limits are divided among is or was that of the fleet, and not the largest one. */
+	get hasBeenKnown(): boolean {
+		return this.#lastKnown !== undefined || !this.#hasSeeds;
+	}
+
 	/** @param hasSeeds whether the settings name seeds other than this instance */
 	setHasSeeds(hasSeeds: boolean): void {
 		this.#hasSeeds = hasSeeds;
--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -27,6 +27,9 @@
 const largeFleetKnownAfterMs: Milliseconds = 6000;
 const membersSettledAfterMs: Milliseconds = 1000;
 
+/** Number of instances that one counts itself among for what it can't serve without, as long as it has never known their number. */
+const servingFleet = 6;
+
 /** Time for which a process must have been heard to decide on behalf of all, so that those that decide and those that ask agree on it. */
 const arbiterHeardMs: Milliseconds = 2000;
 
@@ -174,9 +177,10 @@
 		return selectByHash(key, settled.length > 0 ? settled : [...this.presentHosts(), this.ownHost]);
 	}
 
-	/** Instances that are heard, in a large fleet those of zones that are heard, as a fraction of the members. */
+	/** Instances that are heard, in a large fleet those of zones that are heard, as a fraction of all, at most 1. */
 	presentRatio(): number {
-		return (this.presentHosts().length + 1 + this.#remoteZones.heardHostCount()) / this.memberCount;
+		const heard = this.presentHosts().length + 1 + this.#remoteZones.heardHostCount();
+		return Math.min(1, heard / (this.#fleetSize.hasBeenKnown ? this.sharingCount : servingFleet));
 	}
 
 	setSeedHosts(hosts: readonly string[]): void {
--- a/test/gateway/permits/permit-group.test.ts
+++ b/test/gateway/permits/permit-group.test.ts
@@ -189,6 +189,32 @@
 	});
 }
 
+for (const limit of [4, 40]) {
+	// Guards against instances that each give the whole limit because they hear no other one.
+	test(`instances that start while all seeds are down together keep to a limit of ${limit} a second, and use half of it`, t => {
+		const random = createRandom();
+		const group = MembershipGroup.create(7, 4, random);
+		const started = [...group.members.values()].map(({host, availabilityZone}) => ({host, availabilityZone}));
+		for (const {host} of started) {
+			group.kill(host);
+		}
+
+		for (const {host, availabilityZone} of started.slice(3)) {
+			group.start(host, availabilityZone);
+		}
+
+		group.advance(20_000);
+		const endpoints = new LimitedEndpoints({
+			group, random, limit, perSecond: 100,
+		});
+		const namedAt = group.now;
+		endpoints.nameLimit();
+		endpoints.advance(20_000);
+		assertBound(t, endpoints, limit, namedAt + contactMs);
+		assertUse(t, endpoints, limit, {from: namedAt + contactMs, until: group.now, ratio: 0.5});
+	});
+}
+
 test('a limit that ends is used no longer, and a lower one holds at once', t => {
 	const random = createRandom();
 	const group = MembershipGroup.create(7, 4, random);
