--- a/src/gateway/membership/peer-group.ts
+++ b/src/gateway/membership/peer-group.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '../../shared/clock.js';
 import {hashText} from '../../shared/hash.js';
-import {FleetSize} from './fleet-size.js';
+import {FleetSize, haveSettled} from './fleet-size.js';
 import {RemoteZones} from './remote-zones.js';
 import type {
 	EndpointInFlight, Heartbeat, Peer, ZoneSummary,
@@ -22,14 +22,6 @@
 /** Time for which an instance stays zoned after a peer has named a large fleet, of which it may know only a part yet. */
 const zonedAfterNewsMs: Milliseconds = 5000;
 
-/** Time after the start until an instance of a small or a large fleet may know all others, and time for which the members must then have been unchanged. */
-const smallFleetKnownAfterMs: Milliseconds = 1500;
-const largeFleetKnownAfterMs: Milliseconds = 6000;
-const membersSettledAfterMs: Milliseconds = 1000;
-
-/** Number of instances that one counts itself among for what it can't serve without, as long as it has never known their number. */
-const servingFleet = 6;
-
 /** Time for which a process must have been heard to decide on behalf of all, so that those that decide and those that ask agree on it. */
 const arbiterHeardMs: Milliseconds = 2000;
 
@@ -134,7 +126,7 @@
 
 	/** Whether this instance has had time to hear of all others that it can reach. */
 	knowsMembers(now: Milliseconds): boolean {
-		return this.#hasSettled(this.startedAt, now);
+		return haveSettled({addedAt: this.#memberAddedAt, isZoned: this.#isZoned}, this.startedAt, now);
 	}
 
 	/** Whether heartbeats are exchanged only within the zone. */
@@ -180,7 +172,7 @@
 	/** Instances that are heard, in a large fleet those of zones that are heard, as a fraction of all, at most 1. */
 	presentRatio(): number {
 		const heard = this.presentHosts().length + 1 + this.#remoteZones.heardHostCount();
-		return Math.min(1, heard / (this.#fleetSize.hasBeenKnown ? this.sharingCount : servingFleet));
+		return Math.min(1, heard / this.#fleetSize.lastingCount(this.memberCount));
 	}
 
 	setSeedHosts(hosts: readonly string[]): void {
@@ -257,7 +249,9 @@
 		this.#remoteZones.expire(now);
 		changes.push(...this.#updateTopology(now));
 		this.#recordAddedMembers(now);
-		this.#fleetSize.update(this.memberCount, this.#hearsSeed(), since => this.#hasSettled(since, now), now);
+		this.#fleetSize.update({
+			count: this.memberCount, addedAt: this.#memberAddedAt, includeSeed: this.#hearsSeed(), isZoned: this.#isZoned,
+		}, now);
 
 		for (const [host, until] of this.#candidates) {
 			if (now > until) {
@@ -396,12 +390,6 @@
 		return this.#seedHosts.some(host => this.#peers.has(host) || this.#remoteZones.hosts().includes(host));
 	}
 
-	/** Whether all members that were looked for since a time have been found. */
-	#hasSettled(since: Milliseconds, now: Milliseconds): boolean {
-		return now - since > (this.#isZoned ? largeFleetKnownAfterMs : smallFleetKnownAfterMs)
-			&& (now - this.#memberAddedAt > membersSettledAfterMs || now - since > 2 * largeFleetKnownAfterMs);
-	}
-
 	#recordAddedMembers(now: Milliseconds): void {
 		const members = this.members();
 		if (members.some(host => !this.#previousMembers.has(host))) {
